--- /dev/null
+++ b/crates/gg-caller/src/errors.rs
@@ -0,0 +1,53 @@
+//! The one error shape of the interface.
+
+use gg_http::{Body, HttpError, json_response};
+use gg_protocol::{Code, Failure};
+use http::{HeaderValue, Response, StatusCode, header};
+use serde_json::{Value, json};
+
+/// Header that repeats whether the action ran.
+pub(crate) const RAN_HEADER: &str = "x-gg-ran";
+
+/// The JSON body of a failure.
+pub(crate) fn failure_body(failure: &Failure) -> Value {
+    let mut error = json!({
+        "code": failure.code.as_str(),
+        "type": failure.code.as_str(),
+        "message": failure.message,
+        "ran": failure.ran.as_str(),
+    });
+    if !failure.help.is_empty() {
+        error["help"] = json!(failure.help);
+    }
+    if let Some(retry_ms) = failure.retry_ms {
+        error["retry_after"] = json!(retry_ms as f64 / 1000.0);
+    }
+    json!({ "error": error })
+}
+
+/// The answer that carries a failure.
+pub(crate) fn failure_response(failure: &Failure) -> Response<Body> {
+    let status = StatusCode::from_u16(failure.code.status());
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = json_response(status, &failure_body(failure));
+    let headers = response.headers_mut();
+    headers.insert(RAN_HEADER, HeaderValue::from_static(failure.ran.as_str()));
+    if let Some(retry_ms) = failure.retry_ms {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(retry_ms.div_ceil(1000)));
+    }
+    response
+}
+
+/// A body that could not be read.
+pub(crate) fn body_failure(err: &HttpError) -> Failure {
+    match err {
+        HttpError::TooLarge => Failure::not_run(Code::TooLarge, err.to_string())
+            .help("send less, or only what is new with x-gg-append: yes"),
+        _ => Failure::not_run(Code::BadRequest, err.to_string()),
+    }
+}
+
+/// A request that can't be understood.
+pub(crate) fn bad_request(message: impl Into<String>, help: &str) -> Failure {
+    Failure::not_run(Code::BadRequest, message).help(help)
+}
--- /dev/null
+++ b/crates/gg-caller/src/lib.rs
@@ -0,0 +1,12 @@
+//! The callers' HTTP interface: chat completions with program headers,
+//! programs as resources, and calls to services through the system.
+
+mod backend;
+mod chat;
+mod errors;
+mod request;
+mod routes;
+mod server;
+
+pub use backend::Backend;
+pub use server::{CallerSettings, serve};
--- /dev/null
+++ b/crates/gg-caller/src/routes.rs
@@ -0,0 +1,187 @@
+//! What each path does.
+
+use gg_http::{Body, Limits, json_response, read_body};
+use gg_protocol::{
+    Call, Code, Failure, Name, ProgramId, ServiceCall, StartReply, StartRequest, StepEvent,
+    StepRequest, ids::is_name,
+};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::{
+    Backend, CallerSettings,
+    chat::{broken, done_response, respond, with_turn},
+    errors::{bad_request, body_failure, failure_response},
+    request::{ChatRequest, Context},
+};
+
+const PROGRAM_HELP: &str = "start one with POST /v1/programs, or leave x-gg-program out";
+
+/// Answers one request.
+pub(crate) async fn handle<B: Backend>(
+    backend: B,
+    settings: CallerSettings,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    if request.uri().path() == "/health" {
+        return json_response(StatusCode::OK, &json!({"status": "ok"}));
+    }
+    let routed = route(&backend, &settings, request).await;
+    routed.unwrap_or_else(|failure| failure_response(&failure))
+}
+
+async fn route<B: Backend>(
+    backend: &B,
+    settings: &CallerSettings,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let customer = authenticate(backend, request.headers())?;
+    let context = Context::read(request.headers(), settings.longest)?;
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let caller = Caller { backend, customer, context, limits: &settings.limits };
+    match (&method, parts.as_slice()) {
+        (&Method::POST, ["v1", "chat", "completions"]) => caller.chat(request).await,
+        (&Method::POST, ["v1", "programs"]) => caller.start().await,
+        (&Method::GET, ["v1", "programs", id]) => caller.read(id).await,
+        (&Method::DELETE, ["v1", "programs", id]) => caller.end(id).await,
+        (&Method::GET, ["v1", "programs", id, "turns", turn]) => caller.turn(id, turn).await,
+        (&Method::POST, ["v1", "services", service, rest @ ..]) => {
+            caller.service(service, rest.join("/"), request).await
+        }
+        _ => Err(Failure::not_run(Code::NotFound, format!("no {method} {path}"))
+            .help("see the README for the paths of the callers' interface")),
+    }
+}
+
+fn authenticate<B: Backend>(backend: &B, headers: &HeaderMap) -> Result<Name, Failure> {
+    let value = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let key = value.and_then(|value| value.strip_prefix("Bearer "));
+    key.and_then(|key| backend.customer(key.trim())).ok_or_else(|| {
+        Failure::not_run(Code::Unauthorized, "the key is missing or not valid")
+            .help("send Authorization: Bearer KEY with a key of your account")
+    })
+}
+
+struct Caller<'a, B> {
+    backend: &'a B,
+    customer: Name,
+    context: Context,
+    limits: &'a Limits,
+}
+
+impl<B: Backend> Caller<'_, B> {
+    async fn chat(self, request: Request<Incoming>) -> Result<Response<Body>, Failure> {
+        let body = read_body(request.into_body(), self.limits).await;
+        let body = body.map_err(|err| body_failure(&err))?;
+        let chat = ChatRequest::read(&body, self.context.append)?;
+        let program = self.program_or_new().await?;
+        let call = Call::Chat(chat.call.clone());
+        let events = self.step(program.clone(), call, chat.stream);
+        Ok(respond(chat, program, events).await)
+    }
+
+    async fn service(
+        self,
+        service: &str,
+        path: String,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Failure> {
+        let body = read_body(request.into_body(), self.limits).await;
+        let body = body.map_err(|err| body_failure(&err))?;
+        let body = String::from_utf8(body.into())
+            .map_err(|_| bad_request("body is not UTF-8", "send text or JSON"))?;
+        if !is_name(service) {
+            return Err(bad_request(
+                "the service's name is not valid",
+                "POST /v1/services/NAME/PATH",
+            ));
+        }
+        let call = ServiceCall {
+            service: service.into(),
+            path,
+            body,
+            idempotent: self.context.idempotent,
+        };
+        let program = self.program_or_new().await?;
+        let mut events = self.step(program.clone(), Call::Service(call), false);
+        while let Some(event) = events.recv().await {
+            match event {
+                StepEvent::Begun { .. } | StepEvent::Text { .. } => {}
+                StepEvent::Done { turn, answer } => {
+                    return Ok(with_turn(done_response(&program, turn, &answer), &program, turn));
+                }
+                StepEvent::Failed(failure) => return Ok(failure_response(&failure)),
+            }
+        }
+        Ok(broken())
+    }
+
+    fn step(&self, program: ProgramId, call: Call, stream: bool) -> mpsc::Receiver<StepEvent> {
+        self.backend.step(StepRequest {
+            program,
+            customer: self.customer.clone(),
+            turn: self.context.turn,
+            key: self.context.key.clone(),
+            deadline_ms: self.context.deadline_ms,
+            stream,
+            call,
+        })
+    }
+
+    /// The program named by the headers, or a new one for this turn only.
+    async fn program_or_new(&self) -> Result<ProgramId, Failure> {
+        match &self.context.program {
+            Some(program) => Ok(program.clone()),
+            None => Ok(self.new_program(true).await?.program),
+        }
+    }
+
+    async fn new_program(&self, single: bool) -> Result<StartReply, Failure> {
+        let Some(profile) = self.context.profile.clone() else {
+            return Err(bad_request(
+                "header x-gg-profile is missing",
+                "name the profile to run under",
+            ));
+        };
+        let request = StartRequest {
+            customer: self.customer.clone(),
+            profile,
+            parent: self.context.parent.clone(),
+            key: self.context.key.clone(),
+            single,
+        };
+        self.backend.start(request).await
+    }
+
+    async fn start(self) -> Result<Response<Body>, Failure> {
+        let reply = self.new_program(false).await?;
+        Ok(json_response(StatusCode::CREATED, &reply))
+    }
+
+    async fn read(self, id: &str) -> Result<Response<Body>, Failure> {
+        let view = self.backend.read(program_id(id)?, self.customer.clone()).await?;
+        Ok(json_response(StatusCode::OK, &view))
+    }
+
+    async fn end(self, id: &str) -> Result<Response<Body>, Failure> {
+        self.backend.end(program_id(id)?, self.customer.clone()).await?;
+        Ok(json_response(StatusCode::OK, &json!({"ended": id})))
+    }
+
+    async fn turn(self, id: &str, turn: &str) -> Result<Response<Body>, Failure> {
+        let program = program_id(id)?;
+        let turn = turn
+            .parse()
+            .map_err(|_| bad_request("the turn is not a number", "turns count from 0"))?;
+        let answer = self.backend.turn(program.clone(), self.customer.clone(), turn).await?;
+        Ok(with_turn(done_response(&program, turn, &answer), &program, turn))
+    }
+}
+
+fn program_id(text: &str) -> Result<ProgramId, Failure> {
+    text.parse().map_err(|_| bad_request("the program's identifier is not valid", PROGRAM_HELP))
+}
--- /dev/null
+++ b/crates/gg-caller/src/server.rs
@@ -0,0 +1,35 @@
+//! The callers' listener.
+
+use std::time::Duration;
+
+use gg_http::Limits;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::{Backend, routes::handle};
+
+/// Settings of the callers' interface.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerSettings {
+    /// Limits of the listener.
+    pub limits: Limits,
+    /// Longest time that a request may take.
+    pub longest: Duration,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        CallerSettings { limits: Limits::default(), longest: Duration::from_secs(120) }
+    }
+}
+
+/// Serves callers until `stop` is cancelled, then finishes what is under way.
+pub async fn serve<B: Backend>(
+    listener: TcpListener,
+    settings: CallerSettings,
+    stop: CancellationToken,
+    backend: B,
+) {
+    let handler = move |request| handle(backend.clone(), settings, request);
+    gg_http::serve(listener, settings.limits, stop, handler).await;
+}
--- /dev/null
+++ b/crates/gg-daemon/src/adopt.rs
@@ -0,0 +1,145 @@
+//! Adoption: taking over the programs of a daemon that is gone.
+
+use std::sync::Arc;
+
+use gg_dispatch::owner;
+use gg_journal::{JournalError, incarnations, remove_records, replay, seal};
+use gg_program::{Book, Record, RuleError};
+use gg_protocol::{JournalId, Name, clock::wall_ms};
+use quick_error::quick_error;
+
+use crate::{home::Home, outage, shared::Shared};
+
+quick_error! {
+    /// Why an adoption did not finish.
+    #[derive(Debug)]
+    pub enum AdoptError {
+        /// A journal could not be read or written.
+        Journal(err: JournalError) {
+            from()
+            display("{err}")
+        }
+        /// The records break the rules.
+        Rule(err: RuleError) {
+            from()
+            display("{err}")
+        }
+    }
+}
+
+/// Adopts what belongs to us of the dead daemons' journals.
+pub(crate) async fn adopt_dead(shared: &Arc<Shared>, home: &Arc<Home>) {
+    for name in shared.membership.dead() {
+        let members = shared.members();
+        let adopter = owner(&name, None, &members).map(|member| &member.name);
+        if adopter != Some(&shared.settings.instance) {
+            continue;
+        }
+        match adopt_instance(home, &name, None).await {
+            Ok(()) => shared.membership.forget(&name),
+            Err(err) => log::warn!("event=adopt_failed instance={name} error={err:?}"),
+        }
+    }
+}
+
+/// Adopts every open journal of an instance but `except`.
+pub(crate) async fn adopt_instance(
+    home: &Arc<Home>,
+    instance: &str,
+    except: Option<&JournalId>,
+) -> Result<(), AdoptError> {
+    let known = incarnations(&home.shared.platform, Some(instance)).await;
+    for journal in known.map_err(JournalError::from)? {
+        if Some(&journal) != except && !home.owns(&journal) {
+            adopt(home, &journal).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Adopts one journal unless another has, or finishes an adoption that its
+/// adopter did not.
+pub(crate) async fn adopt(home: &Arc<Home>, journal: &JournalId) -> Result<bool, AdoptError> {
+    let began = tokio::time::Instant::now();
+    let _guard = home.begin_adoption();
+    let platform = &home.shared.platform;
+    // A sealed journal has its adopter; nothing is written for it.
+    let found = replay::<Record, _>(platform, journal).await?;
+    if found.sealed_by.as_ref().is_some_and(|by| by != home.id()) {
+        return Ok(false);
+    }
+    home.note_adoption(journal, false);
+    home.journal.append(&[Record::Adopting { journal: journal.clone() }]).await?;
+    let by = seal(platform, journal, home.id()).await?;
+    if by != *home.id() {
+        home.journal.append(&[Record::Adopted { journal: journal.clone() }]).await?;
+        home.note_adoption(journal, true);
+        return Ok(false);
+    }
+    let mut journals = Vec::new();
+    let mut book = read_sealed(home, journal, &mut journals).await?;
+    book.take_over(wall_ms())?;
+    let oldest = home.journal.length();
+    let snapshots: Vec<Record> =
+        book.programs.values().map(|program| Record::Snapshot(Box::new(program.clone()))).collect();
+    home.journal.append(&snapshots).await?;
+    let count = snapshots.len();
+    home.install(&journals, book, oldest);
+    home.shared.dispatcher.drop_home(journal);
+    home.journal.append(&[Record::Adopted { journal: journal.clone() }]).await?;
+    home.note_adoption(journal, true);
+    for journal in &journals {
+        remove_records(platform, journal).await?;
+    }
+    outage::drop_copies(&home.shared, journal).await;
+    log::info!(
+        "event=adopt journal={journal} programs={count} took_ms={}",
+        began.elapsed().as_millis()
+    );
+    Ok(true)
+}
+
+/// Builds up the programs of a sealed journal, with those whose adoption it
+/// had begun and not finished. Adds the journals read to `journals`.
+async fn read_sealed(
+    home: &Arc<Home>,
+    journal: &JournalId,
+    journals: &mut Vec<JournalId>,
+) -> Result<Book, AdoptError> {
+    let found = replay::<Record, _>(&home.shared.platform, journal).await?;
+    let mut book = Book::default();
+    apply(&mut book, found.records);
+    apply(&mut book, outage::collect(&home.shared, journal).await);
+    journals.push(journal.clone());
+    for unfinished in std::mem::take(&mut book.adopting) {
+        let inner = replay::<Record, _>(&home.shared.platform, &unfinished).await?;
+        if inner.sealed_by.as_ref() != Some(journal) {
+            continue;
+        }
+        let mut earlier = Box::pin(read_sealed(home, &unfinished, journals)).await?;
+        earlier.take_over(wall_ms())?;
+        for (id, program) in earlier.programs {
+            // A snapshot in the later journal has gone further.
+            book.programs.entry(id).or_insert(program);
+        }
+    }
+    Ok(book)
+}
+
+/// Applies records; one that breaks the rules is reported and left out, so
+/// that a single program can't keep all others from being adopted.
+fn apply(book: &mut Book, records: Vec<Record>) {
+    for record in records {
+        if let Err(err) = book.apply(record) {
+            log::error!("event=record_refused error={err:?}");
+        }
+    }
+}
+
+/// The daemon that is to adopt our journal in a planned stop.
+pub(crate) fn successor(shared: &Shared) -> Option<Name> {
+    let members = shared.members();
+    let others: Vec<_> =
+        members.into_iter().filter(|member| member.name != shared.settings.instance).collect();
+    owner(&shared.settings.instance, None, &others).map(|member| member.name.clone())
+}
--- /dev/null
+++ b/crates/gg-daemon/src/lib.rs
@@ -0,0 +1,26 @@
+//! The daemon: entry, home and dispatcher in one process, wired to the
+//! packages of its peers.
+
+mod adopt;
+mod api;
+mod config;
+mod copies;
+mod crash;
+mod entry;
+mod forecast;
+mod home;
+mod logs;
+mod metrics;
+mod node;
+mod operators;
+mod outage;
+mod question;
+mod running;
+mod shared;
+mod slot;
+mod step;
+mod tasks;
+mod upkeep;
+
+pub use logs::init_logs;
+pub use node::{DaemonError, run};
--- /dev/null
+++ b/crates/gg-daemon/src/node.rs
@@ -0,0 +1,164 @@
+//! Start, run and planned stop of a daemon.
+
+use std::{io, net, sync::Arc, time::Duration};
+
+use gg_caller::CallerSettings;
+use gg_http::Limits;
+use gg_journal::JournalError;
+use gg_peer::{PeerApiClient, Secret};
+use gg_settings::DaemonSettings;
+use quick_error::quick_error;
+use tokio::{net::TcpListener, time};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    adopt, api::Api, entry::Entry, home::Home, operators::Operators, shared::Shared, tasks, upkeep,
+};
+
+quick_error! {
+    /// Why a daemon could not run.
+    #[derive(Debug)]
+    pub enum DaemonError {
+        /// An address can't be listened on.
+        Listen(address: String, err: io::Error) {
+            display("can't listen on {address}: {err}")
+        }
+    }
+}
+
+/// Pause before a home is opened again.
+const HOME_PAUSE: Duration = Duration::from_millis(200);
+
+/// Pause between two looks at whether work has ended.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time in which the platform's balancer may still send new connections
+/// after the daemon has said that it is not ready.
+const NOT_READY_TIME: Duration = Duration::from_millis(300);
+
+/// Runs a daemon until `stop` is cancelled; then stops it in order.
+pub async fn run(settings: DaemonSettings, stop: CancellationToken) -> Result<(), DaemonError> {
+    let callers = listen(&settings.listen.callers).await?;
+    let operators = listen(&settings.listen.operators).await?;
+    let peers = net::TcpListener::bind(&settings.listen.peers)
+        .map_err(|err| DaemonError::Listen(settings.listen.peers.clone(), err))?;
+    let kill = CancellationToken::new();
+    let shared = Arc::new(Shared::new(settings, kill.clone()));
+    let entry = Entry::new(shared.clone());
+    let secret = Secret::new(&shared.settings.peer_key);
+    let server = gg_peer::serve(peers, secret, Api { shared: shared.clone() })
+        .map_err(|err| DaemonError::Listen(shared.settings.listen.peers.clone(), err))?;
+    tasks::spawn_all(&shared);
+    let homes = tokio::spawn(kill.clone().run_until_cancelled_owned(keep_home(shared.clone())));
+    let closed = CancellationToken::new();
+    let operating = Operators { shared: shared.clone(), entry: entry.clone(), stop: stop.clone() };
+    tokio::spawn(gg_operator::serve(operators, kill.child_token(), operating));
+    let serving =
+        tokio::spawn(gg_caller::serve(callers, caller_settings(&shared), closed.clone(), entry));
+    log::info!("event=started callers={}", shared.settings.listen.callers);
+    stop.cancelled().await;
+    drain(&shared, &closed).await;
+    let _ = serving.await;
+    kill.cancel();
+    let _ = homes.await;
+    let _ = server.stop();
+    log::info!("event=stopped");
+    Ok(())
+}
+
+async fn listen(address: &str) -> Result<TcpListener, DaemonError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|err| DaemonError::Listen(address.into(), err))
+}
+
+fn caller_settings(shared: &Shared) -> CallerSettings {
+    let listen = &shared.settings.listen;
+    CallerSettings {
+        limits: Limits {
+            connections: listen.connections,
+            body_bytes: listen.body_bytes,
+            head_timeout: listen.head_timeout,
+            stop_timeout: shared.settings.timing.drain,
+            ..Limits::default()
+        },
+        longest: shared.settings.timing.request,
+    }
+}
+
+/// Keeps a home open: a new one follows when the journal of the last was
+/// sealed by another daemon.
+async fn keep_home(shared: Arc<Shared>) {
+    loop {
+        let home = match Home::open(shared.clone()).await {
+            Ok(home) => home,
+            Err(err) => {
+                log::warn!("event=home_failed error={err:?}");
+                time::sleep(HOME_PAUSE).await;
+                continue;
+            }
+        };
+        shared.set_home(Some(home.clone()));
+        let keeping = tokio::spawn(upkeep::run(home.clone()));
+        let adopting = tokio::spawn(adopt_former(home.clone()));
+        home.journal.fenced().cancelled().await;
+        log::warn!("event=home_lost journal={} by={:?}", home.id(), home.journal.sealed_by());
+        keeping.abort();
+        adopting.abort();
+        home.close();
+        if shared.is_draining() {
+            shared.set_home(None);
+            return;
+        }
+    }
+}
+
+/// Adopts the journals of this instance's former starts.
+async fn adopt_former(home: Arc<Home>) {
+    let instance = home.shared.settings.instance.clone();
+    while let Err(err) = adopt::adopt_instance(&home, &instance, Some(home.id())).await {
+        log::warn!("event=adopt_failed instance={instance} error={err:?}");
+        if let adopt::AdoptError::Journal(JournalError::Sealed(_)) = err {
+            return;
+        }
+        time::sleep(HOME_PAUSE).await;
+    }
+}
+
+/// Planned stop: no new work, nothing under way is cut off, the programs
+/// are handed over.
+async fn drain(shared: &Arc<Shared>, closed: &CancellationToken) {
+    log::info!("event=drain");
+    shared.drain();
+    let give_up = time::Instant::now() + shared.settings.timing.drain;
+    time::sleep(NOT_READY_TIME).await;
+    while let Some(home) = shared.home() {
+        let (programs, busy) = home.load();
+        if busy > 0 && time::Instant::now() < give_up {
+            time::sleep(DRAIN_PAUSE).await;
+            continue;
+        }
+        log::info!("event=hand_over journal={} programs={programs} busy={busy}", home.id());
+        hand_over(shared, &home, give_up).await;
+        break;
+    }
+    closed.cancel();
+}
+
+/// Has the successor adopt our journal. Without one the journal stays open
+/// for whoever comes next.
+async fn hand_over(shared: &Arc<Shared>, home: &Home, give_up: time::Instant) {
+    while time::Instant::now() < give_up {
+        let Some(successor) = adopt::successor(shared) else { return };
+        if let Some(peer) = shared.membership.peer(&successor) {
+            let adopted = async {
+                let client = shared.peers.get(&peer.address).await.ok()?;
+                client.adopt(home.id().clone()).await.ok()
+            };
+            if adopted.await == Some(true) {
+                let _ = home.journal.verify().await;
+                return;
+            }
+        }
+        time::sleep(HOME_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/gg-daemon/src/operators.rs
@@ -0,0 +1,180 @@
+//! What the daemon does for operators.
+
+use std::sync::Arc;
+
+use gg_operator::{
+    Accepted, ChangeError, DaemonStatus, OperatorBackend, PeerStatus, VersionStatus,
+};
+use gg_platform::{ObjectStore, PlatformError, When};
+use gg_protocol::{
+    Doc, Document, Entry as Change, Failure, Name, ProgramId, ProgramView,
+    config::{HISTORY_KEPT, Versioned},
+};
+use subtle::ConstantTimeEq;
+use tokio_util::sync::CancellationToken;
+
+use crate::{config::PREFIX, entry::Entry, shared::Shared};
+
+/// Tries to find out whether a change whose answer was lost was accepted.
+const READ_BACK_TRIES: usize = 20;
+
+/// Pause between two such tries.
+const READ_BACK_PAUSE: std::time::Duration = std::time::Duration::from_millis(250);
+
+/// Serves operators. Clones share their state.
+#[derive(Clone)]
+pub(crate) struct Operators {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) entry: Entry,
+    pub(crate) stop: CancellationToken,
+}
+
+impl OperatorBackend for Operators {
+    fn is_operator(&self, key: &str) -> bool {
+        let digests = &self.shared.settings.operator_keys;
+        let shown = blake3::hash(key.as_bytes()).to_hex();
+        let known = |digest: &String| -> bool {
+            digest.to_ascii_lowercase().as_bytes().ct_eq(shown.as_bytes()).into()
+        };
+        digests.is_empty() || digests.iter().any(known)
+    }
+
+    fn is_ready(&self) -> bool {
+        let configured = self.shared.config.get().revision > 0;
+        self.shared.home().is_some() && configured && !self.shared.is_draining()
+    }
+
+    fn status(&self) -> DaemonStatus {
+        let shared = &self.shared;
+        let (programs, busy) = shared.home().map_or((0, 0), |home| home.load());
+        let stalled = shared.home().is_some_and(|home| home.journal.is_stalled());
+        let suspects = shared.membership.suspects();
+        let peers = shared.membership.peers().into_iter().map(|peer| PeerStatus {
+            suspected: suspects.contains(&peer.name),
+            journal: shared.membership.journal(&peer.name).map(|journal| journal.to_string()),
+            config: match peer.name == shared.settings.instance {
+                true => shared.config.get().revision,
+                false => shared.membership.config(&peer.name),
+            },
+            name: peer.name,
+            centre: peer.centre,
+        });
+        DaemonStatus {
+            instance: shared.settings.instance.clone(),
+            centre: shared.settings.centre.clone(),
+            journal: shared.journal_id().to_string(),
+            ready: self.is_ready(),
+            draining: shared.is_draining(),
+            stalled,
+            programs,
+            busy,
+            config: shared.config.get().revision,
+            peers: peers.collect(),
+            queues: shared.dispatcher.views(),
+        }
+    }
+
+    fn documents(&self) -> Vec<(Name, Versioned)> {
+        self.shared.config.get().newer(0)
+    }
+
+    fn versions(&self) -> Vec<VersionStatus> {
+        let config = self.shared.config.get();
+        let documents = config.documents().iter();
+        documents
+            .map(|(key, versioned)| VersionStatus { key: key.clone(), version: versioned.version })
+            .collect()
+    }
+
+    async fn change(
+        &self,
+        key: Name,
+        document: Document,
+        expected: Option<u64>,
+    ) -> Result<Accepted, ChangeError> {
+        let object = format!("{PREFIX}{key}");
+        let platform = &self.shared.platform;
+        let found = platform.get(&object).await.map_err(not_accepted)?;
+        let stored = found.as_ref().map(|found| serde_json::from_slice::<Doc>(&found.body));
+        let stored = stored.and_then(Result::ok);
+        let version = found.as_ref().map_or(0, |found| found.version);
+        if expected.is_some_and(|expected| expected != version) {
+            return Err(conflict(version, stored));
+        }
+        let nonce = format!("{:032x}", rand::random::<u128>());
+        let doc = next_doc(stored, document, nonce.clone());
+        let body = serde_json::to_vec(&doc).unwrap_or_default();
+        let when = if version == 0 { When::Absent } else { When::Version(version) };
+        let version = match platform.put(&object, body.into(), when).await {
+            Ok(version) => version,
+            Err(PlatformError::Refused(status)) => {
+                return Err(ChangeError::NotAccepted(format!("platform answered {status}")));
+            }
+            // A conflict may be our own write whose first answer was lost.
+            Err(_) => self.read_back(&object, &nonce).await?,
+        };
+        log::info!("event=config_accepted key={key} version={version}");
+        self.shared.config.apply(vec![(key.clone(), Versioned { version, doc })]);
+        Ok(Accepted { key, version })
+    }
+
+    async fn read(&self, program: ProgramId) -> Result<ProgramView, Failure> {
+        self.entry.read_any(program).await
+    }
+
+    async fn end(&self, program: ProgramId) -> Result<(), Failure> {
+        self.entry.end_program(program, None).await
+    }
+
+    fn drain(&self) {
+        self.stop.cancel();
+    }
+}
+
+impl Operators {
+    /// Finds out whether the write with `nonce` was accepted.
+    async fn read_back(&self, object: &str, nonce: &str) -> Result<u64, ChangeError> {
+        for _ in 0..READ_BACK_TRIES {
+            match self.shared.platform.get(object).await {
+                Ok(Some(found)) => {
+                    let doc = serde_json::from_slice::<Doc>(&found.body).ok();
+                    return judge(found.version, doc, nonce);
+                }
+                Ok(None) => return Err(ChangeError::NotAccepted("the object is gone".into())),
+                Err(_) => tokio::time::sleep(READ_BACK_PAUSE).await,
+            }
+        }
+        Err(ChangeError::Unknown("the platform's answer was lost and it can't be read".into()))
+    }
+}
+
+fn judge(version: u64, doc: Option<Doc>, nonce: &str) -> Result<u64, ChangeError> {
+    let Some(doc) = doc else { return Err(conflict(version, None)) };
+    if doc.current.nonce == nonce {
+        return Ok(version);
+    }
+    // Accepted, and replaced by a later change since.
+    if doc.history.iter().any(|entry| entry.nonce == nonce) {
+        return Ok(version);
+    }
+    Err(conflict(version, Some(doc)))
+}
+
+fn next_doc(stored: Option<Doc>, document: Document, nonce: String) -> Doc {
+    let serial = stored.as_ref().map_or(1, |doc| doc.current.serial + 1);
+    let mut history = Vec::new();
+    if let Some(doc) = stored {
+        history.push(doc.current);
+        history.extend(doc.history);
+        history.truncate(HISTORY_KEPT);
+    }
+    Doc { current: Change { serial, document, nonce }, history }
+}
+
+fn not_accepted(err: PlatformError) -> ChangeError {
+    ChangeError::NotAccepted(err.to_string())
+}
+
+fn conflict(version: u64, doc: Option<Doc>) -> ChangeError {
+    ChangeError::Conflict(version, doc.map(|doc| doc.current.document))
+}
--- /dev/null
+++ b/crates/gg-dispatch/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions about replicas: which one a call goes to, how many calls one
+//! takes at a time, and whose turn it is.
+
+mod dispatcher;
+mod fairness;
+mod limit;
+mod placement;
+mod quarantine;
+mod queue;
+mod rendezvous;
+mod replica;
+mod retry;
+
+pub use dispatcher::{DispatchSettings, Dispatcher};
+pub use fairness::Shares;
+pub use limit::{AdaptiveLimit, LimitSettings};
+pub use placement::{Candidate, Choice, PlaceReason, PlacementSettings, choose};
+pub use quarantine::{Quarantine, Verdict};
+pub use queue::{RankQueue, Waiting};
+pub use rendezvous::{Member, owner, ranking};
+pub use retry::RetryBudget;
--- /dev/null
+++ b/crates/gg-engine/src/client.rs
@@ -0,0 +1,102 @@
+//! Calls to an engine.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gg_http::{Client, Reply};
+use gg_protocol::{ChatCall, Message, ProgramId};
+use http::{Method, Request, header};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::{CacheEvent, ChatStream, EngineError, EngineState, Order, wire::ChatBody};
+
+/// Longest wait for answers other than completions.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A client of engines; clones share its connections.
+#[derive(Clone, Debug, Default)]
+pub struct Engine {
+    client: Client,
+}
+
+impl Engine {
+    /// Starts a completion of `messages`. `first` is the longest wait for
+    /// the answer's head and the longest silence after it.
+    pub async fn chat(
+        &self,
+        address: &str,
+        call: &ChatCall,
+        messages: &[Message],
+        program: &ProgramId,
+        first: Duration,
+    ) -> Result<ChatStream, EngineError> {
+        let program = program.to_string();
+        let body = ChatBody::new(call, messages, &program);
+        let request = post(address, "/v1/chat/completions", &body)?;
+        let response = self.client.open(request, first).await?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(EngineError::Refused(status.as_u16(), status.to_string()));
+        }
+        Ok(ChatStream::new(response.into_body(), first))
+    }
+
+    /// Frees what the engine holds of an ended program; returns once the
+    /// engine confirms.
+    pub async fn release(&self, address: &str, program: &ProgramId) -> Result<(), EngineError> {
+        let body = json!({"program": program});
+        let request = post(address, "/v1/cache/release", &body)?;
+        let reply = self.client.call(request, CONTROL_TIMEOUT).await?;
+        expect_success(&reply)
+    }
+
+    /// Gives an order.
+    pub async fn order(&self, address: &str, order: &Order) -> Result<(), EngineError> {
+        let request = post(address, "/v1/orders", order)?;
+        let reply = self.client.call(request, CONTROL_TIMEOUT).await?;
+        expect_success(&reply)
+    }
+
+    /// Reads the engine's state.
+    pub async fn state(&self, address: &str) -> Result<EngineState, EngineError> {
+        let reply = self.get(address, "/v1/state").await?;
+        Ok(reply.json()?)
+    }
+
+    /// Reads cache events after number `after`.
+    pub async fn cache_events(
+        &self,
+        address: &str,
+        after: u64,
+    ) -> Result<Vec<CacheEvent>, EngineError> {
+        let reply = self.get(address, &format!("/v1/cache/events?after={after}")).await?;
+        Ok(reply.json()?)
+    }
+
+    async fn get(&self, address: &str, path: &str) -> Result<Reply, EngineError> {
+        let uri = format!("http://{address}{path}");
+        let request = Request::builder().uri(uri).body(Bytes::new())?;
+        let reply = self.client.call(request, CONTROL_TIMEOUT).await?;
+        expect_success(&reply)?;
+        Ok(reply)
+    }
+}
+
+fn post<T: Serialize>(address: &str, path: &str, body: &T) -> Result<Request<Bytes>, EngineError> {
+    let body = serde_json::to_vec(body)?;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{address}{path}"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Bytes::from(body))?;
+    Ok(request)
+}
+
+fn expect_success(reply: &Reply) -> Result<(), EngineError> {
+    if reply.status.is_success() {
+        return Ok(());
+    }
+    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    Err(EngineError::Refused(reply.status.as_u16(), text))
+}
--- /dev/null
+++ b/crates/gg-engine/src/lib.rs
@@ -0,0 +1,12 @@
+//! Client of model engines: streamed completions, cache release, orders and
+//! state.
+
+mod client;
+mod error;
+mod stream;
+mod wire;
+
+pub use client::Engine;
+pub use error::EngineError;
+pub use stream::{ChatStream, EngineEvent};
+pub use wire::{CacheEvent, EngineState, Order, OrderKind};
--- /dev/null
+++ b/crates/gg-http/src/body.rs
@@ -0,0 +1,62 @@
+//! Body of a response: whole, or streamed from a channel.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// A response body without dynamic dispatch.
+#[derive(Debug)]
+pub enum Body {
+    /// Everything at once; `None` once it has been taken.
+    Full(Option<Bytes>),
+    /// Pieces as they come; ends when the sender is dropped.
+    Stream(mpsc::Receiver<Bytes>),
+}
+
+impl Body {
+    /// An empty body.
+    pub fn empty() -> Self {
+        Body::Full(None)
+    }
+}
+
+impl<T: Into<Bytes>> From<T> for Body {
+    fn from(data: T) -> Self {
+        Body::Full(Some(data.into()))
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match self.get_mut() {
+            Body::Full(data) => Poll::Ready(data.take().map(|data| Ok(Frame::data(data)))),
+            Body::Stream(pieces) => {
+                pieces.poll_recv(cx).map(|piece| piece.map(|piece| Ok(Frame::data(piece))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Body::Full(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Full(Some(data)) => SizeHint::with_exact(data.len() as u64),
+            Body::Full(None) => SizeHint::with_exact(0),
+            Body::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gg-http/src/lib.rs
@@ -0,0 +1,12 @@
+//! HTTP plumbing shared by the peers' packages: a client with deadlines and
+//! connection reuse, and a listener with limits and graceful stop.
+
+mod body;
+mod client;
+mod error;
+mod server;
+
+pub use body::Body;
+pub use client::{Client, Reply};
+pub use error::HttpError;
+pub use server::{Limits, json_response, read_body, serve};
--- /dev/null
+++ b/crates/gg-http/src/server.rs
@@ -0,0 +1,115 @@
+//! HTTP listener with limits and graceful stop.
+
+use std::{convert::Infallible, pin::pin, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{Body, HttpError, client};
+
+/// Limits of one listener.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Most connections at a time; more wait in the kernel's queue.
+    pub connections: usize,
+    /// Longest time for a request's head to arrive.
+    pub head_timeout: Duration,
+    /// Longest time for a request's body to arrive.
+    pub body_timeout: Duration,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time that a stop waits for requests under way.
+    pub stop_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            connections: 4096,
+            head_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(30),
+            body_bytes: 8 << 20,
+            stop_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Pause after a failed accept, which mostly means too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves `listener` until `stop` is cancelled, then finishes what is under
+/// way.
+pub async fn serve<H, F>(listener: TcpListener, limits: Limits, stop: CancellationToken, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let tasks = TaskTracker::new();
+    let slots = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let slot = slots.clone().acquire_owned().await;
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        let Ok((socket, _)) = accepted else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let connection = connection(socket, limits, stop.clone(), handler.clone());
+        tasks.spawn(async move {
+            connection.await;
+            drop(slot);
+        });
+    }
+    drop(listener);
+    tasks.close();
+    let _ = time::timeout(limits.stop_timeout, tasks.wait()).await;
+}
+
+async fn connection<H, F>(socket: TcpStream, limits: Limits, stop: CancellationToken, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Response<Body>>,
+{
+    let _ = socket.set_nodelay(true);
+    let service = service_fn(|request| {
+        let response = handler(request);
+        async { Ok::<_, Infallible>(response.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .serve_connection(TokioIo::new(socket), service);
+    let mut connection = pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Reads a request's body within the listener's limits.
+pub async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, HttpError> {
+    let whole = client::collect(body, limits.body_bytes);
+    time::timeout(limits.body_timeout, whole).await.unwrap_or(Err(HttpError::Timeout))
+}
+
+/// A JSON answer.
+pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    let kind = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/gg-journal/src/seal.rs
@@ -0,0 +1,76 @@
+//! Sealing another daemon's journal, and finding who took over.
+
+use gg_platform::{ObjectStore, PlatformError, When};
+use gg_protocol::JournalId;
+
+use crate::{
+    JournalError, journal_prefix,
+    keys::{object_key, sequence},
+    object::{Content, Object, fresh_nonce},
+};
+
+/// Most seals followed from one journal to its present owner.
+const MAX_HOPS: usize = 64;
+
+/// Seals `id` for `adopter` and returns whom the seal names: the adopter, or
+/// whoever came first.
+pub async fn seal<S: ObjectStore>(
+    store: &S,
+    id: &JournalId,
+    adopter: &JournalId,
+) -> Result<JournalId, JournalError> {
+    loop {
+        let (seq, last) = tail(store, id).await?;
+        if let Some(Content::Seal(by)) = last {
+            return Ok(by);
+        }
+        let object = Object { nonce: fresh_nonce(), content: Content::Seal(adopter.clone()) };
+        let key = object_key(id, seq);
+        match store.put(&key, object.encode()?.into(), When::Absent).await {
+            Ok(_) => return Ok(adopter.clone()),
+            Err(PlatformError::Conflict(_)) => {}
+            Err(err) => return Err(err.into()),
+        }
+    }
+}
+
+/// Follows the seals from `id` to the journal that holds its programs now.
+pub async fn find_owner<S: ObjectStore>(
+    store: &S,
+    id: &JournalId,
+) -> Result<JournalId, JournalError> {
+    let mut owner = id.clone();
+    for _ in 0..MAX_HOPS {
+        let (_, last) = tail(store, &owner).await?;
+        match last {
+            Some(Content::Seal(by)) => owner = by,
+            _ => return Ok(owner),
+        }
+    }
+    Err(JournalError::Corrupt(format!("more than {MAX_HOPS} seals from {id}")))
+}
+
+/// Removes everything but the seal, which stays as a signpost.
+pub async fn remove_records<S: ObjectStore>(store: &S, id: &JournalId) -> Result<(), JournalError> {
+    let listing = store.list(&journal_prefix(id)).await?;
+    let Some((_, records)) = listing.items.split_last() else { return Ok(()) };
+    for item in records {
+        store.delete(&item.key).await?;
+    }
+    Ok(())
+}
+
+/// The next free number, and the content of the object before it.
+async fn tail<S: ObjectStore>(
+    store: &S,
+    id: &JournalId,
+) -> Result<(u64, Option<Content>), JournalError> {
+    let listing = store.list(&journal_prefix(id)).await?;
+    let Some(item) = listing.items.last() else { return Ok((0, None)) };
+    let Some(found) = store.get(&item.key).await? else {
+        return Err(JournalError::Platform("the journal changed under the reader".into()));
+    };
+    let content = Object::decode(&found.body)?.content;
+    let next = sequence(&item.key).map_or(0, |seq| seq + 1);
+    Ok((next, Some(content)))
+}
--- /dev/null
+++ b/crates/gg-operator/src/client.rs
@@ -0,0 +1,116 @@
+//! Client of the operators' interface.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gg_http::{Client, HttpError, Reply};
+use gg_protocol::{Name, ProgramId, ProgramView, config::Versioned};
+use http::{Method, Request, header};
+use quick_error::quick_error;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::{Accepted, DaemonStatus, VersionStatus, server::FORCE_HEADER};
+
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+quick_error! {
+    /// Why an operator's request failed.
+    #[derive(Debug)]
+    pub enum OperatorError {
+        /// The daemon could not be asked.
+        Http(err: HttpError) {
+            from()
+            display("{err}")
+        }
+        /// The daemon refused.
+        Refused(status: u16, message: String, help: String, body: Value) {
+            display("{message}")
+        }
+    }
+}
+
+/// A client of one daemon's operators' interface.
+#[derive(Clone, Debug)]
+pub struct OperatorClient {
+    address: String,
+    key: String,
+    client: Client,
+}
+
+impl OperatorClient {
+    /// A client of the daemon whose operators' address is `address`.
+    pub fn new(address: &str, key: &str) -> Self {
+        OperatorClient { address: address.into(), key: key.into(), client: Client::default() }
+    }
+
+    /// State of the daemon.
+    pub async fn status(&self) -> Result<DaemonStatus, OperatorError> {
+        self.json(Method::GET, "/status", "", false).await
+    }
+
+    /// All documents in force.
+    pub async fn documents(&self) -> Result<Vec<(Name, Versioned)>, OperatorError> {
+        self.json(Method::GET, "/config", "", false).await
+    }
+
+    /// Versions of all documents in force.
+    pub async fn versions(&self) -> Result<Vec<VersionStatus>, OperatorError> {
+        self.json(Method::GET, "/versions", "", false).await
+    }
+
+    /// Applies the documents in `text`; if forced, whatever the versions are
+    /// that they are based on.
+    pub async fn apply(&self, text: &str, forced: bool) -> Result<Vec<Accepted>, OperatorError> {
+        self.json(Method::POST, "/config", text, forced).await
+    }
+
+    /// Takes a document away.
+    pub async fn remove(&self, key: &str) -> Result<Vec<Accepted>, OperatorError> {
+        self.json(Method::DELETE, &format!("/config/{key}"), "", false).await
+    }
+
+    /// Reads a program.
+    pub async fn program(&self, program: &ProgramId) -> Result<ProgramView, OperatorError> {
+        self.json(Method::GET, &format!("/programs/{program}"), "", false).await
+    }
+
+    /// Ends a program.
+    pub async fn end(&self, program: &ProgramId) -> Result<(), OperatorError> {
+        self.json(Method::DELETE, &format!("/programs/{program}"), "", false).await
+    }
+
+    /// Begins a planned stop of the daemon.
+    pub async fn drain(&self) -> Result<Value, OperatorError> {
+        self.json(Method::POST, "/drain", "", false).await
+    }
+
+    async fn json<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &str,
+        forced: bool,
+    ) -> Result<T, OperatorError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key));
+        if forced {
+            request = request.header(FORCE_HEADER, "yes");
+        }
+        let request = request.body(Bytes::from(body.to_owned())).map_err(HttpError::from)?;
+        let reply = self.client.call(request, TIMEOUT).await?;
+        if !reply.status.is_success() {
+            return Err(refusal(&reply));
+        }
+        Ok(reply.json()?)
+    }
+}
+
+fn refusal(reply: &Reply) -> OperatorError {
+    let body: Value = reply.json().unwrap_or_default();
+    let text = |field: &str| body["error"][field].as_str().unwrap_or_default().to_owned();
+    OperatorError::Refused(reply.status.as_u16(), text("message"), text("help"), body.clone())
+}
--- /dev/null
+++ b/crates/gg-operator/src/commands/check.rs
@@ -0,0 +1,52 @@
+//! `check`: checks a settings or configuration file without starting
+//! anything.
+
+use std::fs;
+
+use argh::FromArgs;
+use gg_settings::{DaemonSettings, parse_configuration};
+use serde_json::json;
+
+use super::{
+    line::Context,
+    output::{Failed, print_json},
+};
+
+/// Checks a file and lists all its faults.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "Check a daemon's settings:\n  greengagefork check daemon.ini",
+    example = "Check profiles before they are applied:\n  greengagefork check --config profiles.ini"
+)]
+pub(crate) struct CheckCommand {
+    /// the file holds configuration documents, not a daemon's settings
+    #[argh(switch)]
+    config: bool,
+
+    /// file to check
+    #[argh(positional)]
+    file: String,
+}
+
+impl CheckCommand {
+    pub(crate) fn run(self, context: &Context) -> Result<(), Failed> {
+        let text = read_file(&self.file)?;
+        let checked = match self.config {
+            true => parse_configuration(&self.file, &text).map(drop),
+            false => DaemonSettings::parse(&self.file, &text).map(drop),
+        };
+        checked.map_err(|faults| Failed::faults(faults.to_string()))?;
+        match context.json {
+            true => print_json(&json!({"file": self.file, "faults": []})),
+            false => println!("{}: no faults", self.file),
+        }
+        Ok(())
+    }
+}
+
+/// Reads a file named on the command line.
+pub(crate) fn read_file(file: &str) -> Result<String, Failed> {
+    fs::read_to_string(file).map_err(|err| Failed::faults(format!("can't read {file}: {err}")))
+}
--- /dev/null
+++ b/crates/gg-operator/src/commands/line.rs
@@ -0,0 +1,77 @@
+//! The command line as a whole.
+
+use argh::FromArgs;
+
+use super::{
+    apply::ApplyCommand, check::CheckCommand, digest::DigestCommand, drain::DrainCommand,
+    explain::ExplainCommand, profile::ProfileCommand, program::ProgramCommand,
+    status::StatusCommand,
+};
+use crate::OperatorClient;
+
+/// Operates greengagefork daemons.
+#[derive(Debug, FromArgs)]
+#[argh(
+    example = "Check a settings file before a start:\n  {command_name} check daemon.ini",
+    example = "See the fleet:\n  {command_name} --daemon 127.0.0.1:7102 status",
+    error_code(1, "the request failed or was refused"),
+    error_code(2, "the command line or a file has faults"),
+    error_code(3, "a change may have been accepted")
+)]
+pub struct CommandLine {
+    /// operators' address of a daemon, ip:port (127.0.0.1:7102)
+    #[argh(option, default = "String::from(\"127.0.0.1:7102\")")]
+    pub daemon: String,
+
+    /// operator's key; the environment's GREENGAGEFORK_KEY if left out
+    #[argh(option)]
+    pub key: Option<String>,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Apply(ApplyCommand),
+    Check(CheckCommand),
+    Digest(DigestCommand),
+    Drain(DrainCommand),
+    Explain(ExplainCommand),
+    Profile(ProfileCommand),
+    Program(ProgramCommand),
+    Status(StatusCommand),
+}
+
+/// What all commands share.
+pub(crate) struct Context {
+    pub(crate) client: OperatorClient,
+    pub(crate) key: String,
+    pub(crate) json: bool,
+}
+
+/// Runs a command and returns the exit status.
+pub async fn run(line: CommandLine) -> u8 {
+    let key = line.key.or_else(|| std::env::var("GREENGAGEFORK_KEY").ok()).unwrap_or_default();
+    let client = OperatorClient::new(&line.daemon, &key);
+    let context = Context { client, key, json: line.json };
+    let done = match line.command {
+        Command::Apply(command) => command.run(&context).await,
+        Command::Check(command) => command.run(&context),
+        Command::Digest(command) => command.run(&context),
+        Command::Drain(command) => command.run(&context).await,
+        Command::Explain(command) => command.run(&context).await,
+        Command::Profile(command) => command.run(&context).await,
+        Command::Program(command) => command.run(&context).await,
+        Command::Status(command) => command.run(&context).await,
+    };
+    match done {
+        Ok(()) => 0,
+        Err(failed) => failed.report(context.json),
+    }
+}
--- /dev/null
+++ b/crates/gg-peer/src/lib.rs
@@ -0,0 +1,17 @@
+//! JSON-RPC between daemons: the interface, its server and a pool of
+//! connections.
+
+mod api;
+mod auth;
+mod pool;
+mod server;
+
+pub use api::{PeerApiClient, PeerApiServer};
+pub use auth::Secret;
+pub use jsonrpsee::{
+    PendingSubscriptionSink, SubscriptionMessage,
+    core::{RpcResult, SubscriptionResult, async_trait, client::Subscription},
+    ws_client::WsClient,
+};
+pub use pool::{PeerError, Peers};
+pub use server::serve;
--- /dev/null
+++ b/crates/gg-platform/src/client.rs
@@ -0,0 +1,136 @@
+//! Calls to the platform.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gg_http::{Client, Reply};
+use http::{Method, Request, StatusCode, header};
+
+use crate::{Changes, InstanceInfo, Listing, Object, ObjectStore, PlatformError, When};
+
+/// How the platform is reached.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// `ip:port`.
+    pub address: String,
+    /// Longest wait for an answer.
+    pub timeout: Duration,
+    /// Longest wait of a watch without a change.
+    pub watch_wait: Duration,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        PlatformSettings {
+            address: "127.0.0.1:7000".into(),
+            timeout: Duration::from_secs(2),
+            watch_wait: Duration::from_secs(20),
+        }
+    }
+}
+
+/// A client of the platform; clones share its connections.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    settings: PlatformSettings,
+    client: Client,
+}
+
+impl Platform {
+    /// A client with the given settings; connects on first use.
+    pub fn new(settings: PlatformSettings) -> Self {
+        Platform { settings, client: Client::default() }
+    }
+
+    /// Waits for changes below `prefix` after `revision`.
+    pub async fn watch(&self, prefix: &str, revision: u64) -> Result<Changes, PlatformError> {
+        let wait = self.settings.watch_wait;
+        let path = format!("/watch?prefix={prefix}&after={revision}&wait_ms={}", wait.as_millis());
+        let request = self.request(Method::GET, &path).body(Bytes::new())?;
+        let reply = self.client.call(request, wait + self.settings.timeout).await?;
+        expect_ok(&reply)?;
+        Ok(reply.json()?)
+    }
+
+    /// The platform's list of instances, which lags behind reality.
+    pub async fn instances(&self) -> Result<Vec<InstanceInfo>, PlatformError> {
+        let request = self.request(Method::GET, "/instances");
+        let reply = self.send(request.body(Bytes::new())?).await?;
+        expect_ok(&reply)?;
+        Ok(reply.json()?)
+    }
+
+    fn request(&self, method: Method, path: &str) -> http::request::Builder {
+        let address = &self.settings.address;
+        Request::builder().method(method).uri(format!("http://{address}{path}"))
+    }
+
+    async fn send(&self, request: Request<Bytes>) -> Result<Reply, PlatformError> {
+        let reply = self.client.call(request, self.settings.timeout).await?;
+        if reply.status.is_server_error() {
+            let text = format!("status {}", reply.status);
+            return Err(PlatformError::Unavailable(text));
+        }
+        Ok(reply)
+    }
+}
+
+impl ObjectStore for Platform {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        let request = self.request(Method::GET, &format!("/objects/{key}"));
+        let reply = self.send(request.body(Bytes::new())?).await?;
+        match reply.status {
+            StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::OK => {
+                let version = version(&reply).ok_or_else(no_version)?;
+                Ok(Some(Object { version, body: reply.body }))
+            }
+            status => Err(PlatformError::Refused(status.as_u16())),
+        }
+    }
+
+    async fn put(&self, key: &str, body: Bytes, when: When) -> Result<u64, PlatformError> {
+        let request = self.request(Method::PUT, &format!("/objects/{key}"));
+        let request = match when {
+            When::Absent => request.header(header::IF_NONE_MATCH, "*"),
+            When::Version(version) => request.header(header::IF_MATCH, version),
+        };
+        let reply = self.send(request.body(body)?).await?;
+        match reply.status {
+            StatusCode::OK | StatusCode::CREATED => version(&reply).ok_or_else(no_version),
+            StatusCode::PRECONDITION_FAILED => Err(PlatformError::Conflict(version(&reply))),
+            status => Err(PlatformError::Refused(status.as_u16())),
+        }
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), PlatformError> {
+        let request = self.request(Method::DELETE, &format!("/objects/{key}"));
+        let reply = self.send(request.body(Bytes::new())?).await?;
+        match reply.status {
+            StatusCode::OK | StatusCode::NO_CONTENT | StatusCode::NOT_FOUND => Ok(()),
+            status => Err(PlatformError::Refused(status.as_u16())),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, PlatformError> {
+        let request = self.request(Method::GET, &format!("/list?prefix={prefix}"));
+        let reply = self.send(request.body(Bytes::new())?).await?;
+        expect_ok(&reply)?;
+        Ok(reply.json()?)
+    }
+}
+
+fn version(reply: &Reply) -> Option<u64> {
+    reply.header("etag")?.trim_matches('"').parse().ok()
+}
+
+fn no_version() -> PlatformError {
+    PlatformError::Unavailable("answer carries no version".into())
+}
+
+fn expect_ok(reply: &Reply) -> Result<(), PlatformError> {
+    match reply.status {
+        StatusCode::OK => Ok(()),
+        status => Err(PlatformError::Refused(status.as_u16())),
+    }
+}
--- /dev/null
+++ b/crates/gg-program/src/book.rs
@@ -0,0 +1,93 @@
+//! All programs of one journal, built up from its records.
+
+use gg_protocol::{JournalId, ProgramId};
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{Program, Record, RuleError, State, TurnRecord};
+
+/// What the records of a journal amount to.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    /// Programs by identifier.
+    pub programs: IndexMap<ProgramId, Program>,
+    /// Journals whose adoption was begun and not finished.
+    pub adopting: IndexSet<JournalId>,
+}
+
+impl Book {
+    /// Applies records in order.
+    pub fn apply_all(&mut self, records: Vec<Record>) -> Result<(), RuleError> {
+        records.into_iter().try_for_each(|record| self.apply(record))
+    }
+
+    /// Applies one record. A record that was applied before changes nothing.
+    pub fn apply(&mut self, record: Record) -> Result<(), RuleError> {
+        match record {
+            Record::Started(start) => {
+                let id = start.program.clone();
+                self.programs.entry(id).or_insert_with(|| Program::new(start));
+            }
+            Record::Reserved { program, total } => {
+                let budget = &mut self.get(&program)?.budget;
+                budget.reserved = budget.reserved.max(total);
+            }
+            Record::Intent(intent) => {
+                let program = self.get(&intent.program)?;
+                if intent.turn >= program.next_turn() {
+                    program.intent = Some(intent);
+                }
+            }
+            Record::Aborted { program, turn } => {
+                let program = self.get(&program)?;
+                program.intent.take_if(|intent| intent.turn == turn);
+            }
+            Record::Turn(turn) => self.apply_turn(&turn)?,
+            Record::Ended { program, reason, at_ms } => {
+                self.get(&program)?.state = State::Ended { reason, at_ms };
+            }
+            Record::Released { program, upstream } => {
+                self.get(&program)?.upstreams.retain(|known| *known != upstream);
+            }
+            Record::Forgotten { program } => {
+                self.programs.shift_remove(&program);
+            }
+            Record::Adopting { journal } => {
+                self.adopting.insert(journal);
+            }
+            Record::Adopted { journal } => {
+                self.adopting.shift_remove(&journal);
+            }
+            Record::Snapshot(program) => {
+                self.programs.insert(program.id().clone(), *program);
+            }
+        }
+        Ok(())
+    }
+
+    fn apply_turn(&mut self, turn: &TurnRecord) -> Result<(), RuleError> {
+        let program = self.get(&turn.program)?;
+        if turn.turn < program.next_turn() {
+            return Ok(());
+        }
+        program.apply_turn(turn)?;
+        let root = program.start.root.clone();
+        self.get(&root)?.budget.charge(turn.spent);
+        Ok(())
+    }
+
+    fn get(&mut self, program: &ProgramId) -> Result<&mut Program, RuleError> {
+        self.programs.get_mut(program).ok_or_else(|| RuleError::Missing(program.clone()))
+    }
+
+    /// Prepares the programs for a new owner: budgets set aside count as
+    /// spent, and lost outcomes are told as unknown.
+    pub fn take_over(&mut self, now_ms: u64) -> Result<(), RuleError> {
+        for program in self.programs.values_mut() {
+            program.budget.forfeit();
+            if let Some(record) = program.resolve_intent(now_ms) {
+                program.apply_turn(&record)?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gg-protocol/src/failure.rs
@@ -0,0 +1,177 @@
+//! The one error shape told to callers.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::JournalId;
+
+/// Whether the request's action took place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// It did not run and never will.
+    No,
+    /// It ran.
+    Yes,
+    /// It may have run.
+    Unknown,
+}
+
+impl Ran {
+    /// Text used in headers and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Ran::No => "no",
+            Ran::Yes => "yes",
+            Ran::Unknown => "unknown",
+        }
+    }
+}
+
+/// Stable reason of a failure; callers may branch on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Code {
+    /// The request can't be understood.
+    BadRequest,
+    /// The key is missing, wrong or revoked.
+    Unauthorized,
+    /// No such program, turn, service, profile or path.
+    NotFound,
+    /// The turn is already recorded or running with other content.
+    TurnConflict,
+    /// The turn number is ahead of the program's order.
+    TurnAhead,
+    /// The program has ended.
+    ProgramEnded,
+    /// The program's budget does not cover the call.
+    BudgetExhausted,
+    /// The profile's limit on turns or repeated turns is reached.
+    LimitReached,
+    /// The request could not be finished in time at the present load.
+    Overloaded,
+    /// The request's deadline has passed.
+    DeadlineExceeded,
+    /// The request crashed the upstreams that ran it.
+    Quarantined,
+    /// The upstream failed or can't be reached.
+    UpstreamFailed,
+    /// The platform's store is out of reach.
+    PlatformUnavailable,
+    /// The program's home is changing or can't be reached.
+    HomeUnavailable,
+    /// The daemon is being stopped.
+    Stopping,
+    /// The request is larger than the limit.
+    TooLarge,
+    /// The caller went away or ended the program.
+    Cancelled,
+    /// A fault of the daemon itself.
+    Internal,
+}
+
+impl Code {
+    /// HTTP status that carries this code.
+    pub fn status(self) -> u16 {
+        match self {
+            Code::BadRequest => 400,
+            Code::Unauthorized => 401,
+            Code::NotFound => 404,
+            Code::TurnConflict | Code::TurnAhead => 409,
+            Code::ProgramEnded => 410,
+            Code::BudgetExhausted | Code::LimitReached => 402,
+            Code::Overloaded => 429,
+            Code::DeadlineExceeded => 504,
+            Code::Quarantined => 422,
+            Code::UpstreamFailed => 502,
+            Code::PlatformUnavailable | Code::HomeUnavailable | Code::Stopping => 503,
+            Code::TooLarge => 413,
+            Code::Cancelled => 499,
+            Code::Internal => 500,
+        }
+    }
+
+    /// Text used in logs and bodies.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Code::BadRequest => "bad_request",
+            Code::Unauthorized => "unauthorized",
+            Code::NotFound => "not_found",
+            Code::TurnConflict => "turn_conflict",
+            Code::TurnAhead => "turn_ahead",
+            Code::ProgramEnded => "program_ended",
+            Code::BudgetExhausted => "budget_exhausted",
+            Code::LimitReached => "limit_reached",
+            Code::Overloaded => "overloaded",
+            Code::DeadlineExceeded => "deadline_exceeded",
+            Code::Quarantined => "quarantined",
+            Code::UpstreamFailed => "upstream_failed",
+            Code::PlatformUnavailable => "platform_unavailable",
+            Code::HomeUnavailable => "home_unavailable",
+            Code::Stopping => "stopping",
+            Code::TooLarge => "too_large",
+            Code::Cancelled => "cancelled",
+            Code::Internal => "internal",
+        }
+    }
+}
+
+/// A final negative answer: what went wrong, whether the action ran, what to
+/// do and when to come back.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Failure {
+    /// Stable reason.
+    pub code: Code,
+    /// What went wrong, for people.
+    pub message: String,
+    /// What the caller can do about it.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub help: String,
+    /// Whether the action took place.
+    pub ran: Ran,
+    /// When to come back, in milliseconds from now.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_ms: Option<u64>,
+    /// Journal that the program has moved to; entries follow it, callers
+    /// never see it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub moved: Option<JournalId>,
+}
+
+impl Failure {
+    /// A failure of an action that did not run.
+    pub fn not_run(code: Code, message: impl Into<String>) -> Self {
+        Failure {
+            code,
+            message: message.into(),
+            help: String::new(),
+            ran: Ran::No,
+            retry_ms: None,
+            moved: None,
+        }
+    }
+
+    /// A failure of an action that may have run.
+    pub fn unknown(code: Code, message: impl Into<String>) -> Self {
+        Failure { ran: Ran::Unknown, ..Failure::not_run(code, message) }
+    }
+
+    /// The same failure with a help line.
+    pub fn help(self, help: impl Into<String>) -> Self {
+        Failure { help: help.into(), ..self }
+    }
+
+    /// The same failure with a time to come back after.
+    pub fn retry_in(self, retry_ms: u64) -> Self {
+        Failure { retry_ms: Some(retry_ms), ..self }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {} (ran: {})", self.code.as_str(), self.message, self.ran.as_str())
+    }
+}
+
+impl std::error::Error for Failure {}
--- /dev/null
+++ b/crates/gg-protocol/src/lib.rs
@@ -0,0 +1,18 @@
+//! Types shared by every package: identifiers, configuration documents,
+//! the messages between daemons and the failures told to callers.
+
+pub mod chat;
+pub mod clock;
+pub mod config;
+pub mod failure;
+pub mod ids;
+pub mod peer;
+pub mod step;
+pub mod view;
+
+pub use chat::{ChatCall, Message, Usage};
+pub use config::{Customer, Doc, Document, Entry, Model, Profile, Rank, Upstream, UpstreamKind};
+pub use failure::{Code, Failure, Ran};
+pub use ids::{JournalId, Name, ProgramId};
+pub use step::{Answer, Call, ServiceCall, StartReply, StartRequest, StepEvent, StepRequest};
+pub use view::{ProgramView, TurnView};
--- /dev/null
+++ b/crates/gg-service/src/client.rs
@@ -0,0 +1,75 @@
+//! Calls to a tool or plain service.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gg_http::{Client, HttpError};
+use gg_protocol::{ProgramId, ServiceCall};
+use http::{Method, Request, header};
+use quick_error::quick_error;
+
+/// Header that names the call, so that a service may recognise it.
+const CALL_HEADER: &str = "idempotency-key";
+
+quick_error! {
+    /// Why a call to a service failed.
+    #[derive(Debug)]
+    pub enum ServiceError {
+        /// The call was surely not sent.
+        Unsent(text: String) {
+            display("call was not sent: {text}")
+        }
+        /// The call may have run.
+        Lost(text: String) {
+            display("no answer to a call that was sent: {text}")
+        }
+    }
+}
+
+impl From<HttpError> for ServiceError {
+    fn from(err: HttpError) -> Self {
+        match err.is_unsent() {
+            true => ServiceError::Unsent(err.to_string()),
+            false => ServiceError::Lost(err.to_string()),
+        }
+    }
+}
+
+/// Answer of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Body as text.
+    pub body: String,
+}
+
+/// A client of services; clones share its connections.
+#[derive(Clone, Debug, Default)]
+pub struct Service {
+    client: Client,
+}
+
+impl Service {
+    /// Sends a call once.
+    pub async fn call(
+        &self,
+        address: &str,
+        call: &ServiceCall,
+        program: &ProgramId,
+        turn: u32,
+        timeout: Duration,
+    ) -> Result<ServiceReply, ServiceError> {
+        let path = call.path.trim_start_matches('/');
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}/{path}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(CALL_HEADER, format!("{program}/{turn}"))
+            .body(Bytes::from(call.body.clone()))
+            .map_err(HttpError::from)?;
+        let reply = self.client.call(request, timeout).await?;
+        let body = String::from_utf8_lossy(&reply.body).into_owned();
+        Ok(ServiceReply { status: reply.status.as_u16(), body })
+    }
+}
