History-checked fault runs; acknowledged turns no longer lost to a lagging list

The platform's list lagged back to a state without daemons. Every daemon took its peers for dead, adopted their journals, and asked only the peers it believed live for copies kept in the outage before.

The journals of the run held every record that had reached the platform.

Change: a daemon that is not listed counts as gone only when it does not answer either. A successor asks every known daemon for copies and waits if both holders of a copy may be silent. Copies carry numbers and are dropped only up to what is durable.

--- a/crates/gg-daemon/src/adopt.rs
+++ b/crates/gg-daemon/src/adopt.rs
@@ -19,6 +19,10 @@
             from()
             display("{err}")
         }
+        /// Daemons that may hold the only copies of records don't answer.
+        Copies(journal: JournalId) {
+            display("copies of {journal} may be with daemons that don't answer")
+        }
         /// The records break the rules.
         Rule(err: RuleError) {
             from()
@@ -91,7 +95,7 @@
     for journal in &journals {
         remove_records(platform, journal).await?;
     }
-    outage::drop_copies(&home.shared, journal).await;
+    outage::drop_copies(&home.shared, journal, u64::MAX).await;
     log::info!(
         "event=adopt journal={journal} programs={count} took_ms={}",
         began.elapsed().as_millis()
@@ -109,7 +113,8 @@
     let found = replay::<Record, _>(&home.shared.platform, journal).await?;
     let mut book = Book::default();
     apply(&mut book, found.records);
-    apply(&mut book, outage::collect(&home.shared, journal).await);
+    let copies = outage::collect(&home.shared, journal).await;
+    apply(&mut book, copies.ok_or_else(|| AdoptError::Copies(journal.clone()))?);
     journals.push(journal.clone());
     for unfinished in std::mem::take(&mut book.adopting) {
         let inner = replay::<Record, _>(&home.shared.platform, &unfinished).await?;
--- a/crates/gg-daemon/src/api.rs
+++ b/crates/gg-daemon/src/api.rs
@@ -151,16 +151,17 @@
         }
     }
 
-    async fn hold(&self, journal: JournalId, records: Vec<String>) -> RpcResult<bool> {
-        Ok(self.shared.copies.hold(journal, records))
+    async fn hold(&self, journal: JournalId, number: u64, records: Vec<String>) -> RpcResult<bool> {
+        Ok(self.shared.copies.hold(journal, number, records))
     }
 
-    async fn held(&self, journal: JournalId, drop: bool) -> RpcResult<Vec<String>> {
-        if drop {
-            self.shared.copies.remove(&journal);
-            return Ok(Vec::new());
-        }
-        Ok(self.shared.copies.get(&journal))
+    async fn held(&self, journal: JournalId) -> RpcResult<Vec<(u64, String)>> {
+        Ok(self.shared.copies.collect(&journal))
+    }
+
+    async fn unhold(&self, journal: JournalId, upto: u64) -> RpcResult<()> {
+        self.shared.copies.remove(&journal, upto);
+        Ok(())
     }
 
     async fn crashed(&self, content: String, count: u32) -> RpcResult<()> {
--- a/crates/gg-daemon/src/home.rs
+++ b/crates/gg-daemon/src/home.rs
@@ -22,6 +22,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
+    outage,
     running::Running,
     shared::{Shared, lock},
     step::Step,
@@ -43,6 +44,8 @@
     owned: RwLock<HashSet<JournalId>>,
     next: AtomicU64,
     adopting: AtomicUsize,
+    /// Number of the last records that other daemons got a copy of.
+    copied: AtomicU64,
     /// Adoptions begun and not finished, with the journal object after which
     /// they were begun.
     unfinished: Mutex<HashMap<JournalId, u64>>,
@@ -118,6 +121,7 @@
             owned: RwLock::new(owned),
             next: AtomicU64::new(1),
             adopting: AtomicUsize::new(0),
+            copied: AtomicU64::new(0),
             unfinished: Mutex::default(),
             stop,
         }))
@@ -169,6 +173,13 @@
         lock(&self.unfinished).values().min().copied()
     }
 
+    /// Number up to which copies are no longer needed: all records submitted
+    /// so far are durable. `None` if some are not.
+    pub(crate) fn settled_copies(&self) -> Option<u64> {
+        let copied = self.copied.load(Ordering::SeqCst);
+        self.journal.is_settled().then_some(copied)
+    }
+
     fn is_adopting(&self) -> bool {
         self.adopting.load(Ordering::SeqCst) > 0
     }
@@ -572,7 +583,8 @@
                     };
                 }
                 () = tokio::time::sleep(STALL_CHECK), if self.journal.is_stalled() => {
-                    if crate::outage::copy(&self.shared, self.id(), records).await {
+                    let number = self.copied.fetch_add(1, Ordering::SeqCst) + 1;
+                    if outage::copy(&self.shared, self.id(), number, records).await {
                         return Ok(());
                     }
                 }
@@ -637,9 +649,11 @@
 }
 
 fn join_running(running: &Arc<Running>, request: &StepRequest, digest: &str) -> Admission {
-    let same_key = request.key.is_some() && request.key == running.key;
-    let same_turn = request.turn == Some(running.turn);
-    if !same_turn && !(request.turn.is_none() && same_key) {
+    let is_this_step = match request.turn {
+        Some(turn) => turn == running.turn,
+        None => request.key.is_some() && request.key == running.key,
+    };
+    if !is_this_step {
         return Admission::Wait { expected: running.turn + 1 };
     }
     match running.digest == digest {
--- a/crates/gg-daemon/src/lib.rs
+++ b/crates/gg-daemon/src/lib.rs
@@ -23,4 +23,4 @@
 mod upkeep;
 
 pub use logs::init_logs;
-pub use node::{DaemonError, run};
+pub use node::{DaemonError, run, run_until_signal};
--- a/crates/gg-daemon/src/node.rs
+++ b/crates/gg-daemon/src/node.rs
@@ -8,7 +8,11 @@
 use gg_peer::{PeerApiClient, Secret};
 use gg_settings::DaemonSettings;
 use quick_error::quick_error;
-use tokio::{net::TcpListener, time};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    time,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -36,6 +40,26 @@
 /// after the daemon has said that it is not ready.
 const NOT_READY_TIME: Duration = Duration::from_millis(300);
 
+/// Runs a daemon until SIGTERM or SIGINT; then stops it in order.
+pub async fn run_until_signal(settings: DaemonSettings) -> Result<(), DaemonError> {
+    let stop = CancellationToken::new();
+    tokio::spawn(stop_on_signal(stop.clone()));
+    run(settings, stop).await
+}
+
+async fn stop_on_signal(stop: CancellationToken) {
+    let (Ok(mut term), Ok(mut int)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    stop.cancel();
+}
+
 /// Runs a daemon until `stop` is cancelled; then stops it in order.
 pub async fn run(settings: DaemonSettings, stop: CancellationToken) -> Result<(), DaemonError> {
     let callers = listen(&settings.listen.callers).await?;
--- a/crates/gg-daemon/src/upkeep.rs
+++ b/crates/gg-daemon/src/upkeep.rs
@@ -33,15 +33,15 @@
 /// Runs until the home is closed.
 pub(crate) async fn run(home: Arc<Home>) {
     let mut trimmed = 1;
-    let mut stalled = false;
+    let mut dropped = 0;
     loop {
         time::sleep(ROUND).await;
         if home.journal.is_stalled() {
-            stalled = true;
             continue;
         }
-        if std::mem::take(&mut stalled) {
-            outage::drop_copies(&home.shared, home.id()).await;
+        if let Some(settled) = home.settled_copies().filter(|settled| *settled > dropped) {
+            outage::drop_copies(&home.shared, home.id(), settled).await;
+            dropped = settled;
         }
         for resident in home.residents() {
             keep(&home, &resident).await;
--- a/crates/gg-fakes/src/engine.rs
+++ b/crates/gg-fakes/src/engine.rs
@@ -83,6 +83,8 @@
 struct Shared {
     costs: EngineCosts,
     cache: Mutex<Cache>,
+    /// Tokens worked on for each program, lost tries included.
+    spent: Mutex<IndexMap<String, u64>>,
     stats: Mutex<EngineStats>,
     batch: AtomicU32,
     leaving: AtomicBool,
@@ -110,6 +112,7 @@
         let shared = Shared {
             costs,
             cache: Mutex::default(),
+            spent: Mutex::default(),
             stats: Mutex::default(),
             batch: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
@@ -178,6 +181,15 @@
         lock(&self.shared.cache).held.keys().cloned().collect()
     }
 
+    /// Tokens worked on for a program, lost tries included.
+    pub fn spent(&self, program: &str) -> u64 {
+        lock(&self.shared.spent).get(program).copied().unwrap_or(0)
+    }
+
+    fn spend(&self, program: &str, tokens: u64) {
+        *lock(&self.shared.spent).entry(program.to_owned()).or_insert(0) += tokens;
+    }
+
     /// Sequences in the batch now.
     pub fn batch(&self) -> u32 {
         self.shared.batch.load(Ordering::SeqCst)
@@ -302,18 +314,21 @@
             stats.peak = stats.peak.max(batch);
         }
         let cached = self.cached(&program, prompt);
+        self.spend(&program, prompt);
         self.prefill(prompt - cached).await;
         if crash {
             self.crash();
             return false;
         }
-        let mut words = Words::new(&messages);
+        let contents = messages.iter().map(|message| message["content"].as_str().unwrap_or(""));
+        let mut words = Words::new(contents);
         let mut sent = 0;
         while sent < wanted {
             let count = self.shared.costs.chunk.min(wanted - sent);
             time::sleep(self.pace() * count as u32).await;
             let text: String = (0..count).map(|_| words.next_word()).collect();
             sent += count;
+            self.spend(&program, count);
             let chunk = json!({"choices": [{"index": 0, "delta": {"content": text}}]});
             if events.send(sse(&chunk)).await.is_err() {
                 return false;
@@ -381,14 +396,20 @@
     bytes as u64 / 4 + 1
 }
 
+/// The answer of `count` tokens that every engine gives to a conversation.
+pub fn expected_answer(contents: &[String], count: u64) -> String {
+    let mut words = Words::new(contents.iter().map(String::as_str));
+    (0..count).map(|_| words.next_word()).collect()
+}
+
 /// Text that depends on nothing but the prompt.
 struct Words(blake3::OutputReader);
 
 impl Words {
-    fn new(messages: &[Value]) -> Self {
+    fn new<'a>(contents: impl Iterator<Item = &'a str>) -> Self {
         let mut hasher = blake3::Hasher::new();
-        for message in messages {
-            hasher.update(message["content"].as_str().unwrap_or_default().as_bytes());
+        for content in contents {
+            hasher.update(content.as_bytes());
             hasher.update(&[0]);
         }
         Words(hasher.finalize_xof())
--- a/crates/gg-fakes/src/fleet.rs
+++ b/crates/gg-fakes/src/fleet.rs
@@ -197,6 +197,7 @@
     settings: FleetSettings,
     starter: Starter,
     folder: PathBuf,
+    keep: bool,
     stop: CancellationToken,
 }
 
@@ -226,6 +227,7 @@
             settings,
             starter,
             folder,
+            keep: false,
             stop,
         };
         fleet.list_upstreams();
@@ -365,6 +367,11 @@
         CallerClient::new(vec![self.daemons[index].callers.clone()], &format!("key-{customer}"))
     }
 
+    /// Leaves settings and logs behind when the fleet is dropped.
+    pub fn keep_files(&mut self) {
+        self.keep = true;
+    }
+
     /// Folder with settings and logs.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -375,7 +382,7 @@
     fn drop(&mut self) {
         self.daemons.clear();
         self.stop.cancel();
-        if !std::thread::panicking() {
+        if !self.keep && !std::thread::panicking() {
             let _ = fs::remove_dir_all(&self.folder);
         }
     }
--- a/crates/gg-fakes/src/history.rs
+++ b/crates/gg-fakes/src/history.rs
@@ -39,6 +39,13 @@
         /// `no`, `yes` or `unknown`.
         ran: String,
     },
+    /// A caller was told for good that the turn may have run.
+    Closed {
+        /// The program.
+        program: String,
+        /// Place in its order.
+        turn: u32,
+    },
     /// A service carried an action out.
     Executed {
         /// The action.
@@ -136,11 +143,14 @@
     }
 }
 
-/// The turns of a program are told as done in their order.
+/// The turns of a program are told as done, or as unknown for good, in their
+/// order.
 fn check_order(events: &[Event], found: &mut Vec<Violation>) {
     let mut next: HashMap<&str, u32> = HashMap::new();
     for event in events {
-        let Event::Done { program, turn, .. } = event else { continue };
+        let (Event::Done { program, turn, .. } | Event::Closed { program, turn }) = event else {
+            continue;
+        };
         let next = next.entry(program).or_insert(0);
         if *turn > *next {
             found.push(Violation(format!("{program}: turn {turn} done before turn {next}")));
--- a/crates/gg-fakes/src/trace.rs
+++ b/crates/gg-fakes/src/trace.rs
@@ -58,7 +58,8 @@
     pub failed: String,
     /// Whether it was refused at its start.
     pub refused: bool,
-    /// Prompt tokens of all turns together, each history counted once.
+    /// Prompt tokens that engines had to compute if each token of history is
+    /// computed once.
     pub ideal_tokens: u64,
     /// Requests that were answered with a time to come back.
     pub retries: u32,
@@ -221,7 +222,9 @@
         };
         match told {
             Told::Done(_) => {
-                part.tokens += shape.prompt + shape.generate;
+                if !shape.service {
+                    part.tokens += ideal_tokens(shape);
+                }
                 return Ok(());
             }
             Told::Refused { retry_after: Some(seconds), .. } => {
@@ -238,6 +241,15 @@
     Err("too many tries".into())
 }
 
+/// Prompt tokens that a turn adds: its own message, and its answer, which
+/// the next turn's prompt holds.
+fn ideal_tokens(shape: &TurnShape) -> u64 {
+    shape.prompt.max(PROMPT_MIN / 4) + 1 + 1
+}
+
+/// Least length of a prompt, in bytes.
+const PROMPT_MIN: u64 = 16;
+
 /// A prompt of about `tokens` tokens that no other turn shares.
 fn prompt(program: &str, number: u32, tokens: u64) -> String {
     let mut text = format!("ask {program} {number} ");
@@ -245,7 +257,7 @@
     while text.len() < bytes {
         text.push_str("glue and host families ");
     }
-    text.truncate(bytes.max(16));
+    text.truncate(bytes.max(PROMPT_MIN as usize));
     text
 }
 
--- a/crates/gg-journal/src/journal.rs
+++ b/crates/gg-journal/src/journal.rs
@@ -125,6 +125,11 @@
         self.shared.stalled.load(Ordering::Relaxed)
     }
 
+    /// Whether everything handed over so far is durable.
+    pub fn is_settled(&self) -> bool {
+        self.shared.backlog.load(Ordering::SeqCst) == 0
+    }
+
     /// Number of objects written so far, which is the next object's number.
     pub fn length(&self) -> u64 {
         self.shared.next.load(Ordering::SeqCst)
@@ -149,11 +154,11 @@
         }
         let records = encode(records)?;
         let bytes = records.iter().map(Piece::size).sum();
-        let backlog = self.shared.backlog.load(Ordering::Relaxed);
+        let backlog = self.shared.backlog.load(Ordering::SeqCst);
         if backlog + bytes > self.settings.backlog_bytes {
             return Err(JournalError::Full);
         }
-        self.shared.backlog.fetch_add(bytes, Ordering::Relaxed);
+        self.shared.backlog.fetch_add(bytes, Ordering::SeqCst);
         let (done, wait) = oneshot::channel();
         let batch = Batch { records, bytes, done };
         self.batches.send(batch).map_err(|_| JournalError::Closed)?;
--- a/crates/gg-journal/src/writer.rs
+++ b/crates/gg-journal/src/writer.rs
@@ -159,7 +159,7 @@
 
 fn settle<S>(parts: &Parts<S>, batches: VecDeque<Batch>, written: Result<Position, JournalError>) {
     for batch in batches {
-        parts.shared.backlog.fetch_sub(batch.bytes, Ordering::Relaxed);
+        parts.shared.backlog.fetch_sub(batch.bytes, Ordering::SeqCst);
         let _ = batch.done.send(written.clone());
     }
 }
--- a/crates/gg-membership/src/view.rs
+++ b/crates/gg-membership/src/view.rs
@@ -7,7 +7,7 @@
 
 use gg_platform::{InstanceInfo, InstanceKind, InstanceState};
 use gg_protocol::{JournalId, Name};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use rand::seq::{IndexedRandom, SliceRandom};
 
 /// Settings of the view.
@@ -51,7 +51,9 @@
 struct Inner {
     listed: IndexMap<Name, InstanceInfo>,
     evidence: IndexMap<Name, Evidence>,
-    unlisted: IndexSet<Name>,
+    /// Daemons that were listed once and are not now. The list lags, so they
+    /// count as gone only when they don't answer either.
+    unlisted: IndexMap<Name, InstanceInfo>,
 }
 
 /// Which instances are live.
@@ -79,13 +81,11 @@
         let mut inner = self.lock();
         let listed: IndexMap<Name, InstanceInfo> =
             list.into_iter().map(|info| (info.name.clone(), info)).collect();
-        let entries = inner.listed.values().filter(|info| info.kind == InstanceKind::Entry);
-        let gone: Vec<Name> = entries
-            .map(|info| info.name.clone())
-            .filter(|name| !listed.contains_key(name))
-            .collect();
+        let known = std::mem::take(&mut inner.listed).into_iter();
+        let gone = known
+            .filter(|(name, info)| info.kind == InstanceKind::Entry && !listed.contains_key(name));
         inner.unlisted.extend(gone);
-        inner.unlisted.retain(|name| !listed.contains_key(name));
+        inner.unlisted.retain(|name, _| !listed.contains_key(name));
         inner.listed = listed;
     }
 
@@ -157,26 +157,36 @@
         long && evidence.failures >= FAILURES_MIN
     }
 
-    /// Daemons that may own things: listed as live and not suspected, and
-    /// always this one.
+    /// Daemons that may own things: listed as live, or answering although
+    /// they are not listed; never those suspected, and always this one.
     pub fn live(&self) -> Vec<PeerInfo> {
         let inner = self.lock();
         let alive = |info: &&InstanceInfo| {
-            let suspected =
-                inner.evidence.get(&info.name).is_some_and(|known| self.is_suspected(known));
-            info.name == self.local || (info.state == InstanceState::Live && !suspected)
+            let evidence = inner.evidence.get(&info.name);
+            let suspected = evidence.is_some_and(|known| self.is_suspected(known));
+            let answers = evidence.is_some_and(|known| known.failing.is_none());
+            let counted = answers || inner.listed.contains_key(&info.name);
+            info.name == self.local || (info.state == InstanceState::Live && counted && !suspected)
         };
-        inner.entries().filter(alive).map(peer_info).collect()
+        inner.known().filter(alive).map(peer_info).collect()
     }
 
-    /// Every daemon that the platform lists.
+    /// Every daemon that the platform lists, or that was listed and has not
+    /// been found dead.
     pub fn peers(&self) -> Vec<PeerInfo> {
-        self.lock().entries().map(peer_info).collect()
+        self.lock().known().map(peer_info).collect()
     }
 
-    /// A listed daemon by name.
+    /// A known daemon by name.
     pub fn peer(&self, name: &str) -> Option<PeerInfo> {
-        self.lock().listed.get(name).map(peer_info)
+        let inner = self.lock();
+        let info = inner.listed.get(name).or_else(|| inner.unlisted.get(name));
+        info.map(peer_info)
+    }
+
+    /// Whether the platform lists the daemon.
+    pub fn is_listed(&self, name: &str) -> bool {
+        self.lock().listed.contains_key(name)
     }
 
     /// Journal that a peer reported last.
@@ -189,8 +199,8 @@
         self.lock().evidence.get(name).map_or(0, |evidence| evidence.config)
     }
 
-    /// Daemons whose journals are to be adopted: no longer listed, or
-    /// unreachable for this daemon and for enough witnesses.
+    /// Daemons whose journals are to be adopted: no longer listed and not
+    /// answering, or unreachable for this daemon and for enough witnesses.
     pub fn dead(&self) -> Vec<Name> {
         let inner = self.lock();
         let others = inner.entries().count().saturating_sub(2);
@@ -200,7 +210,11 @@
             let fresh = evidence.reports.values().filter(|at| at.elapsed() < life).count();
             self.is_suspected(evidence) && fresh >= needed
         });
-        let mut dead: Vec<Name> = inner.unlisted.iter().cloned().collect();
+        let silent = |name: &&Name| {
+            let evidence = inner.evidence.get(*name);
+            evidence.is_some_and(|known| known.failures >= FAILURES_MIN)
+        };
+        let mut dead: Vec<Name> = inner.unlisted.keys().filter(silent).cloned().collect();
         dead.extend(unreachable.map(|(name, _)| name.clone()));
         dead.sort();
         dead.dedup();
@@ -230,11 +244,6 @@
         leaving.map(|info| info.name.clone()).collect()
     }
 
-    /// Whether the platform lists the upstream as live.
-    pub fn is_listed(&self, name: &str) -> bool {
-        self.lock().listed.contains_key(name)
-    }
-
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
@@ -244,6 +253,10 @@
     fn entries(&self) -> impl Iterator<Item = &InstanceInfo> {
         self.listed.values().filter(|info| info.kind == InstanceKind::Entry)
     }
+
+    fn known(&self) -> impl Iterator<Item = &InstanceInfo> {
+        self.entries().chain(self.unlisted.values())
+    }
 }
 
 fn peer_info(info: &InstanceInfo) -> PeerInfo {
--- a/crates/gg-peer/src/api.rs
+++ b/crates/gg-peer/src/api.rs
@@ -66,13 +66,18 @@
     #[method(name = "adopt")]
     async fn adopt(&self, journal: JournalId) -> RpcResult<bool>;
 
-    /// Keeps copies of records that the platform has not taken yet.
+    /// Keeps copies of records that the platform has not taken yet, under a
+    /// number of their owner's.
     #[method(name = "hold")]
-    async fn hold(&self, journal: JournalId, records: Vec<String>) -> RpcResult<bool>;
+    async fn hold(&self, journal: JournalId, number: u64, records: Vec<String>) -> RpcResult<bool>;
 
-    /// Hands out, or drops, the copies kept for a journal.
+    /// Hands out the copies kept for a journal, with their numbers.
     #[method(name = "held")]
-    async fn held(&self, journal: JournalId, drop: bool) -> RpcResult<Vec<String>>;
+    async fn held(&self, journal: JournalId) -> RpcResult<Vec<(u64, String)>>;
+
+    /// Drops the copies kept for a journal up to a number.
+    #[method(name = "unhold")]
+    async fn unhold(&self, journal: JournalId, upto: u64) -> RpcResult<()>;
 
     /// Tells that a content was in crashes.
     #[method(name = "crashed")]
--- /dev/null
+++ b/crates/gg-settings/tests/files.rs
@@ -0,0 +1,72 @@
+//! Settings and configuration files.
+
+use gg_protocol::{Document, Profile, Rank};
+use gg_settings::{DaemonSettings, SAMPLE, parse_configuration, print_document};
+use proptest::prelude::*;
+
+#[test]
+fn sample_is_valid() {
+    let settings = DaemonSettings::parse("sample.ini", SAMPLE).expect("no faults");
+    let default = DaemonSettings::default();
+    assert_eq!(settings.timing, default.timing);
+    assert_eq!(settings.listen, default.listen);
+    assert_eq!(settings.commit_interval, default.commit_interval);
+}
+
+#[test]
+fn all_faults_at_once() {
+    let text = "[instance]\nname = a b\ndata_centre = north\n\
+                [listen]\ncallers = here\nconnections = 0\n\
+                [security]\npeer_key = x\n[timing]\nprobes = 5\n[extra]\nx = 1\n";
+    let faults = DaemonSettings::parse("bad.ini", text).expect_err("faults").0;
+    let places: Vec<String> =
+        faults.iter().map(|fault| format!("{}/{}", fault.section, fault.key)).collect();
+    for place in
+        ["instance/name", "listen/callers", "listen/connections", "timing/probes", "extra/"]
+    {
+        assert!(places.iter().any(|found| found == place), "{place} not in {places:?}");
+    }
+    assert!(faults.iter().all(|fault| fault.file == "bad.ini" && !fault.allowed.is_empty()));
+}
+
+#[test]
+fn documents_are_checked() {
+    let text = "[profile x]\nrank = 9\n[upstream y]\naddress = nowhere\n[ghost z]\n";
+    let faults = parse_configuration("c.ini", text).expect_err("faults").0;
+    assert_eq!(faults.len(), 3, "{faults:?}");
+}
+
+proptest! {
+    /// What is printed can be applied again, and means the same.
+    #[test]
+    fn profiles_round_trip(
+        rank in 0_u8..8,
+        target_ms in 1_u64..1_000_000,
+        budget_tokens in 1_u64..1_000_000_000,
+        floor_percent in 0_u8..=50,
+        refuse_unrecorded in any::<bool>(),
+        version in any::<u64>(),
+    ) {
+        let profile = Profile {
+            rank: Rank(rank),
+            target_ms,
+            budget_tokens,
+            floor_percent,
+            refuse_unrecorded,
+            ..Profile::default()
+        };
+        let document = Document::Profile(profile);
+        let text = print_document("profile/x", &document, version);
+        let drafts = parse_configuration("x", &text).expect("no faults");
+        let draft = &drafts["profile/x"];
+        prop_assert_eq!(&draft.document, &document);
+        prop_assert_eq!(draft.version, version);
+    }
+
+    /// No text makes the parsers panic.
+    #[test]
+    fn any_text_is_survived(text in "[\\[\\]a-z0-9 =;\\n\\\\\"]{0,300}") {
+        let _ = DaemonSettings::parse("x", &text);
+        let _ = parse_configuration("x", &text);
+    }
+}
--- /dev/null
+++ b/examples/quickstart.rs
@@ -0,0 +1,54 @@
+//! The main job in one command: stand-ins, three daemons as processes, and a
+//! recorded trace of both users' programs.
+//!
+//! `cargo run --release --example quickstart`
+
+use std::{path::Path, process::ExitCode};
+
+use argh::FromArgs;
+use gg_fakes::{
+    CUSTOMERS, EngineCosts, Fleet, FleetSettings, play, print_rows, recomputed, shapes, summarize,
+};
+
+mod support;
+
+/// Starts everything, plays the trace and prints what came of it.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// settings file of one daemon; used when this example starts itself
+    #[argh(option)]
+    daemon: Option<String>,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if let Some(file) = arguments.daemon {
+        return support::run_daemon(&file).await;
+    }
+    let settings = FleetSettings {
+        daemons: 3,
+        engines: 4,
+        services: 2,
+        costs: EngineCosts::default(),
+        ..FleetSettings::default()
+    };
+    let fleet = Fleet::start(support::starter(), settings).await;
+    let trace = Path::new(env!("CARGO_MANIFEST_DIR")).join("traces/both-users.jsonl");
+    let shapes = shapes(&trace);
+    println!("playing {} programs against 3 daemons and 4 engines", shapes.len());
+    let callers: Vec<_> =
+        CUSTOMERS.iter().map(|name| ((*name).to_owned(), fleet.caller(name))).collect();
+    let outcomes = play(&callers, shapes).await;
+    print_rows(&summarize(&outcomes, &["urgent", "background"]));
+    let stats: Vec<_> = fleet.engines.iter().map(|engine| engine.stats()).collect();
+    let ideal = outcomes.iter().map(|outcome| outcome.ideal_tokens).sum();
+    println!("prompt tokens computed: {:.2} times the ideal", recomputed(&stats, ideal));
+    for outcome in outcomes.iter().filter(|outcome| !outcome.failed.is_empty()) {
+        println!("{} program at {} ms: {}", outcome.profile, outcome.at_ms, outcome.failed);
+    }
+    match outcomes.iter().all(|outcome| outcome.failed.is_empty()) {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/examples/support/mod.rs
@@ -0,0 +1,32 @@
+//! The examples run as the daemon, too, so that one command is enough.
+
+use std::process::ExitCode;
+
+use gg_fakes::Starter;
+use gg_settings::DaemonSettings;
+
+/// Starts this program again as a daemon.
+pub fn starter() -> Starter {
+    let program = std::env::current_exe().expect("path of this program");
+    Starter { program, arguments: vec!["--daemon".into()] }
+}
+
+/// Runs a daemon with the settings in `file`.
+pub async fn run_daemon(file: &str) -> ExitCode {
+    let text = std::fs::read_to_string(file).expect("settings file");
+    let settings = match DaemonSettings::parse(file, &text) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprint!("{faults}");
+            return ExitCode::FAILURE;
+        }
+    };
+    gg_daemon::init_logs(&settings.log, &settings.instance).expect("log");
+    match gg_daemon::run_until_signal(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("error: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/bin/greengageforkd.rs
+++ b/src/bin/greengageforkd.rs
@@ -3,10 +3,8 @@
 use std::{fs, process::ExitCode};
 
 use argh::FromArgs;
-use gg_daemon::{init_logs, run};
+use gg_daemon::{init_logs, run_until_signal};
 use gg_settings::{DaemonSettings, SAMPLE};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio_util::sync::CancellationToken;
 
 /// Exit status of faulty settings.
 const EXIT_FAULTS: u8 = 2;
@@ -65,9 +63,7 @@
 
 #[tokio::main]
 async fn serve(settings: DaemonSettings) -> ExitCode {
-    let stop = CancellationToken::new();
-    tokio::spawn(stop_on_signal(stop.clone()));
-    match run(settings, stop).await {
+    match run_until_signal(settings).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("error: {err}");
@@ -75,17 +71,3 @@
         }
     }
 }
-
-/// Begins a planned stop on SIGTERM or SIGINT.
-async fn stop_on_signal(stop: CancellationToken) {
-    let (Ok(mut term), Ok(mut int)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-    stop.cancel();
-}
--- /dev/null
+++ b/tests/fault_runs.rs
@@ -0,0 +1,63 @@
+//! Seeded concurrent runs under faults, checked by their history. The longer
+//! command is `cargo run --release --example fault_runs -- --seeds 2000`.
+
+mod support;
+
+use gg_fakes::{Fault, Plan, run_scenario};
+
+async fn run(seed: u64, plan: Plan) {
+    let report = run_scenario(support::starter(), seed, plan).await;
+    assert!(report.violations.is_empty(), "seed {seed}: {report:#?}");
+    assert!(report.done > 0, "seed {seed}: {report:#?}");
+}
+
+async fn run_with(seed: u64, faults: &[Fault]) {
+    run(seed, Plan { faults: faults.to_vec(), ..Plan::seeded(seed) }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_and_restart() {
+    run_with(101, &[Fault::Kill, Fault::Kill]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_for_good() {
+    run_with(102, &[Fault::Remove]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn freeze_past_adoption() {
+    run_with(103, &[Fault::Freeze, Fault::Freeze]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop() {
+    run_with(104, &[Fault::Drain]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_outage() {
+    run_with(105, &[Fault::Outage, Fault::Hang]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers() {
+    run_with(106, &[Fault::LostAnswers, Fault::Kill]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_and_kill() {
+    run_with(107, &[Fault::Outage, Fault::Kill]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_crash() {
+    run_with(108, &[Fault::EngineCrash, Fault::EngineCrash, Fault::Kill]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seeded_plans() {
+    for seed in 1..=3 {
+        run(seed, Plan::seeded(seed)).await;
+    }
+}
