--- a/crates/gg-daemon/src/adopt.rs
+++ b/crates/gg-daemon/src/adopt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use gg_dispatch::owner;
-use gg_journal::{JournalError, incarnations, remove_records, replay, seal};
+use gg_journal::{JournalError, find_path, incarnations, remove_records, replay, seal};
 use gg_program::{Book, Record, RuleError};
 use gg_protocol::{JournalId, Name, clock::wall_ms};
 use quick_error::quick_error;
@@ -46,6 +46,26 @@
     }
 }
 
+/// Finishes adoptions that were begun, or drops those whose seal is not ours.
+pub(crate) async fn finish_begun(home: &Arc<Home>) {
+    for journal in home.unfinished() {
+        if let Err(err) = finish(home, &journal).await {
+            log::warn!("event=adopt_failed journal={journal} error={err:?}");
+        }
+    }
+}
+
+async fn finish(home: &Arc<Home>, journal: &JournalId) -> Result<(), AdoptError> {
+    let path = find_path(&home.shared.platform, journal).await?;
+    if path.get(1) == Some(home.id()) {
+        adopt(home, journal).await?;
+        return Ok(());
+    }
+    home.journal.append(&[Record::Adopted { journal: journal.clone() }]).await?;
+    home.note_adoption(journal, true);
+    Ok(())
+}
+
 /// Adopts every open journal of an instance but `except`.
 pub(crate) async fn adopt_instance(
     home: &Arc<Home>,
@@ -65,11 +85,16 @@
 /// adopter did not.
 pub(crate) async fn adopt(home: &Arc<Home>, journal: &JournalId) -> Result<bool, AdoptError> {
     let began = tokio::time::Instant::now();
-    let _guard = home.begin_adoption();
+    let _turn = home.adopting.lock().await;
+    if home.owns(journal) {
+        home.note_adoption(journal, true);
+        return Ok(true);
+    }
     let platform = &home.shared.platform;
     // A sealed journal has its adopter; nothing is written for it.
     let found = replay::<Record, _>(platform, journal).await?;
     if found.sealed_by.as_ref().is_some_and(|by| by != home.id()) {
+        home.note_adoption(journal, true);
         return Ok(false);
     }
     home.note_adoption(journal, false);
--- a/crates/gg-daemon/src/entry.rs
+++ b/crates/gg-daemon/src/entry.rs
@@ -189,10 +189,7 @@
         let Ok(client) = self.shared.peers.get(address).await else { return Relay::Lost(None) };
         let asked = time::timeout(CALL_TIMEOUT, client.step(request.clone())).await;
         let Ok(Ok(mut events)) = asked else { return Relay::Lost(None) };
-        let relay = self.relay_events(address, &mut events, caller).await;
-        // Tells the home that nobody follows any more.
-        tokio::spawn(events.unsubscribe());
-        relay
+        self.relay_events(address, &mut events, caller).await
     }
 
     async fn relay_events(
--- a/crates/gg-daemon/src/home.rs
+++ b/crates/gg-daemon/src/home.rs
@@ -5,12 +5,12 @@
     collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex, RwLock,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use gg_journal::{Journal, JournalError, JournalSettings, find_owner};
+use gg_journal::{Journal, JournalError, JournalSettings, find_path};
 use gg_platform::{ObjectStore, Platform, PlatformError, When};
 use gg_program::{Book, Budget, EndReason, Place, Program, Record, Start, State, call_digest};
 use gg_protocol::{
@@ -43,7 +43,8 @@
     programs: RwLock<HashMap<ProgramId, Arc<Resident>>>,
     owned: RwLock<HashSet<JournalId>>,
     next: AtomicU64,
-    adopting: AtomicUsize,
+    /// Held during an adoption.
+    pub(crate) adopting: tokio::sync::Mutex<()>,
     /// Number of the last records that other daemons got a copy of.
     copied: AtomicU64,
     /// Adoptions begun and not finished, with the journal object after which
@@ -52,15 +53,6 @@
     stop: CancellationToken,
 }
 
-/// Counts an adoption as under way.
-pub(crate) struct AdoptionGuard<'a>(&'a Home);
-
-impl Drop for AdoptionGuard<'_> {
-    fn drop(&mut self) {
-        self.0.adopting.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// One program at its home.
 pub(crate) struct Resident {
     pub(crate) program: Mutex<Program>,
@@ -120,7 +112,7 @@
             programs: RwLock::default(),
             owned: RwLock::new(owned),
             next: AtomicU64::new(1),
-            adopting: AtomicUsize::new(0),
+            adopting: tokio::sync::Mutex::default(),
             copied: AtomicU64::new(0),
             unfinished: Mutex::default(),
             stop,
@@ -144,18 +136,26 @@
     }
 
     /// Whether programs born in `journal` are here; asks the platform if it
-    /// isn't known. While an adoption is under way the answer may be no for
-    /// a journal that is about to be here.
+    /// isn't known.
+    ///
+    /// A seal may name this home although the adoption is not finished, or
+    /// was given up before its write took effect: then it is to be finished
+    /// first.
     pub(crate) async fn claims(&self, journal: &JournalId) -> bool {
         if self.owns(journal) {
             return true;
         }
-        let found = find_owner(&self.shared.platform, journal).await;
-        if found.is_ok_and(|owner| owner == *self.id()) && !self.is_adopting() {
-            self.write_owned().insert(journal.clone());
-            return true;
+        let Ok(path) = find_path(&self.shared.platform, journal).await else { return false };
+        let [.., last, owner] = path.as_slice() else { return false };
+        if owner != self.id() {
+            return false;
+        }
+        if !self.owns(last) {
+            self.note_adoption(last, false);
+            return false;
         }
-        false
+        self.write_owned().insert(journal.clone());
+        true
     }
 
     /// Keeps the record of an adoption from being trimmed until it is
@@ -180,14 +180,9 @@
         self.journal.is_settled().then_some(copied)
     }
 
-    fn is_adopting(&self) -> bool {
-        self.adopting.load(Ordering::SeqCst) > 0
-    }
-
-    /// Marks an adoption as under way until the guard is dropped.
-    pub(crate) fn begin_adoption(&self) -> AdoptionGuard<'_> {
-        self.adopting.fetch_add(1, Ordering::SeqCst);
-        AdoptionGuard(self)
+    /// Journals whose adoption is to be finished.
+    pub(crate) fn unfinished(&self) -> Vec<JournalId> {
+        lock(&self.unfinished).keys().cloned().collect()
     }
 
     /// Takes in the programs of an adopted journal and of those that it had
--- a/crates/gg-daemon/src/tasks.rs
+++ b/crates/gg-daemon/src/tasks.rs
@@ -223,6 +223,7 @@
         time::sleep(shared.settings.timing.probe / 2).await;
         if let Some(home) = shared.home() {
             adopt::adopt_dead(&shared, &home).await;
+            adopt::finish_begun(&home).await;
         }
     }
 }
--- a/crates/gg-fakes/src/callers.rs
+++ b/crates/gg-fakes/src/callers.rs
@@ -6,12 +6,13 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use gg_http::{Client, HttpError, Reply};
 use http::{Method, Request, header};
+use http_body_util::BodyExt;
 use serde_json::{Value, json};
 
 /// Longest wait for an answer.
@@ -66,7 +67,7 @@
     pub fn new(daemons: Vec<String>, key: &str) -> Self {
         CallerClient {
             daemons: Arc::new(daemons),
-            next: Arc::new(AtomicUsize::new(0)),
+            next: Arc::new(AtomicUsize::new(rand::random_range(0..1024))),
             key: key.into(),
             client: Client::default(),
         }
@@ -122,6 +123,32 @@
         told(reply, |body| body["choices"][0]["message"]["content"].as_str().unwrap_or("").into())
     }
 
+    /// Sends a model turn and reads its stream. Returns the times to the
+    /// first text and to the end, or what went wrong.
+    pub async fn stream(
+        &self,
+        program: &str,
+        turn: u32,
+        content: &str,
+        generate: u64,
+    ) -> Result<StreamTimes, String> {
+        let began = Instant::now();
+        let body = json!({
+            "model": "m1",
+            "messages": [{"role": "user", "content": content}],
+            "max_tokens": generate,
+            "stream": true,
+        });
+        let request = Request::post(format!("http://{}/v1/chat/completions", self.daemon()))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .header("x-gg-program", program)
+            .header("x-gg-turn", turn)
+            .header("x-gg-append", "yes")
+            .body(Bytes::from(body.to_string()))
+            .map_err(|err| err.to_string())?;
+        read_stream(&self.client, request, began).await
+    }
+
     /// Calls a service within a program.
     pub async fn service(&self, program: &str, turn: u32, service: &str, body: &str) -> Told {
         let headers = [("x-gg-program", program.to_owned()), ("x-gg-turn", turn.to_string())];
@@ -143,6 +170,42 @@
     }
 }
 
+/// Times of a streamed answer.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamTimes {
+    /// From the request to the first text.
+    pub first: Duration,
+    /// From the request to the end.
+    pub whole: Duration,
+}
+
+/// Sends a request for a streamed completion and reads it to its end.
+pub async fn read_stream(
+    client: &Client,
+    request: Request<Bytes>,
+    began: Instant,
+) -> Result<StreamTimes, String> {
+    let response = client.open(request, TIMEOUT).await.map_err(|err| err.to_string())?;
+    let status = response.status();
+    let mut body = response.into_body();
+    let mut first = None;
+    let mut last = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| err.to_string())?;
+        let Some(data) = frame.data_ref() else { continue };
+        first.get_or_insert_with(|| began.elapsed());
+        last.clear();
+        last.extend_from_slice(&data[data.len().saturating_sub(END_MARK.len())..]);
+    }
+    match (first, last == END_MARK) {
+        (Some(first), true) => Ok(StreamTimes { first, whole: began.elapsed() }),
+        _ => Err(format!("status {status}, ended with {:?}", String::from_utf8_lossy(&last))),
+    }
+}
+
+/// Last bytes of a whole stream.
+const END_MARK: &[u8] = b"data: [DONE]\n\n";
+
 fn accept(reply: Result<Reply, HttpError>) -> Result<Value, Told> {
     match reply {
         Err(err) => Err(Told::Broken(err.to_string())),
--- a/crates/gg-fakes/src/engine.rs
+++ b/crates/gg-fakes/src/engine.rs
@@ -92,7 +92,7 @@
     fence: Mutex<u64>,
     fenced: bool,
     models: Mutex<Vec<String>>,
-    prefill: tokio::sync::Mutex<()>,
+    prefill: tokio::sync::Mutex<f64>,
     life: Mutex<CancellationToken>,
 }
 
@@ -120,7 +120,7 @@
             fence: Mutex::new(0),
             fenced,
             models: Mutex::default(),
-            prefill: tokio::sync::Mutex::new(()),
+            prefill: tokio::sync::Mutex::new(0.0),
             life: Mutex::new(stop.child_token()),
         };
         let engine = FakeEngine { address, shared: Arc::new(shared) };
@@ -325,7 +325,10 @@
         let mut sent = 0;
         while sent < wanted {
             let count = self.shared.costs.chunk.min(wanted - sent);
-            time::sleep(self.pace() * count as u32).await;
+            let pace = self.pace() * count as u32;
+            if !pace.is_zero() {
+                time::sleep(pace).await;
+            }
             let text: String = (0..count).map(|_| words.next_word()).collect();
             sent += count;
             self.spend(&program, count);
@@ -365,10 +368,14 @@
         if tokens == 0 {
             return;
         }
-        // One prompt is computed at a time.
-        let _turn = self.shared.prefill.lock().await;
-        let ms = tokens as f64 / self.shared.costs.prefill_per_ms;
-        time::sleep(Duration::from_secs_f64(ms / 1000.0)).await;
+        // One prompt is computed at a time. The timer can't sleep for less
+        // than a millisecond, so short times are added up.
+        let mut owed_ms = self.shared.prefill.lock().await;
+        *owed_ms += tokens as f64 / self.shared.costs.prefill_per_ms;
+        if *owed_ms >= 1.0 {
+            time::sleep(Duration::from_secs_f64(*owed_ms / 1000.0)).await;
+            *owed_ms = 0.0;
+        }
     }
 
     fn cached(&self, program: &str, prompt: u64) -> u64 {
--- a/crates/gg-fakes/src/lib.rs
+++ b/crates/gg-fakes/src/lib.rs
@@ -13,7 +13,7 @@
 mod store;
 mod trace;
 
-pub use callers::{CallerClient, ChatReply, Told};
+pub use callers::{CallerClient, ChatReply, StreamTimes, Told, read_stream};
 pub use engine::{CRASH_MARK, EngineCosts, EngineStats, FakeEngine, HANG_MARK, expected_answer};
 pub use fleet::{CUSTOMERS, DaemonProcess, Fleet, FleetSettings, Starter};
 pub use history::{Event, EventLog, Violation, check};
--- a/crates/gg-fakes/src/report.rs
+++ b/crates/gg-fakes/src/report.rs
@@ -35,7 +35,8 @@
 
 fn summarize_one(outcomes: &[Outcome], profile: &str) -> Row {
     let mut row = Row { profile: profile.into(), ..Row::default() };
-    let mut latencies = Histogram::<u64>::new(3).expect("three digits are supported");
+    let mut latencies =
+        Histogram::<u64>::new_with_bounds(1, 86_400_000, 3).expect("bounds are in order");
     for outcome in outcomes.iter().filter(|outcome| outcome.profile == profile) {
         row.programs += 1;
         row.turns += outcome.turns;
--- a/crates/gg-journal/src/journal.rs
+++ b/crates/gg-journal/src/journal.rs
@@ -25,8 +25,10 @@
 /// Settings of a journal.
 #[derive(Clone, Debug)]
 pub struct JournalSettings {
-    /// Least time between the beginnings of two commits.
+    /// Mean time between the beginnings of two commits, at least.
     pub interval: Duration,
+    /// Commits that may follow each other at once after a quiet time.
+    pub burst: u32,
     /// Most bytes that wait for the platform.
     pub backlog_bytes: usize,
     /// Largest object, in bytes.
@@ -38,7 +40,8 @@
 impl Default for JournalSettings {
     fn default() -> Self {
         JournalSettings {
-            interval: Duration::from_millis(20),
+            interval: Duration::from_millis(30),
+            burst: 8,
             backlog_bytes: 64 << 20,
             object_bytes: 900_000,
             retry_max: Duration::from_millis(500),
--- a/crates/gg-journal/src/seal.rs
+++ b/crates/gg-journal/src/seal.rs
@@ -39,13 +39,24 @@
     store: &S,
     id: &JournalId,
 ) -> Result<JournalId, JournalError> {
-    let mut owner = id.clone();
-    for _ in 0..MAX_HOPS {
-        let (_, last) = tail(store, &owner).await?;
-        match last {
-            Some(Content::Seal(by)) => owner = by,
-            _ => return Ok(owner),
+    let mut path = find_path(store, id).await?;
+    Ok(path.pop().unwrap_or_else(|| id.clone()))
+}
+
+/// The journals through which the programs of `id` went, from itself to the
+/// one that holds them now.
+pub async fn find_path<S: ObjectStore>(
+    store: &S,
+    id: &JournalId,
+) -> Result<Vec<JournalId>, JournalError> {
+    let mut path = vec![id.clone()];
+    let mut next = id.clone();
+    while path.len() <= MAX_HOPS {
+        match tail(store, &next).await?.1 {
+            Some(Content::Seal(by)) => next = by,
+            _ => return Ok(path),
         }
+        path.push(next.clone());
     }
     Err(JournalError::Corrupt(format!("more than {MAX_HOPS} seals from {id}")))
 }
--- a/crates/gg-journal/src/writer.rs
+++ b/crates/gg-journal/src/writer.rs
@@ -46,7 +46,7 @@
     mut queue: mpsc::UnboundedReceiver<Batch>,
     stop: CancellationToken,
 ) {
-    let mut last = Instant::now() - parts.settings.interval;
+    let mut pace = Pace::new(parts.settings.interval, parts.settings.burst);
     loop {
         let first = tokio::select! {
             batch = queue.recv() => batch,
@@ -54,8 +54,7 @@
             () = parts.shared.fenced.cancelled() => None,
         };
         let Some(first) = first else { break };
-        time::sleep_until(last + parts.settings.interval).await;
-        last = Instant::now();
+        pace.wait().await;
         let mut batches = VecDeque::from([first]);
         drain(&mut queue, &mut batches, parts.settings.object_bytes);
         let written = tokio::select! {
@@ -67,6 +66,32 @@
     refuse_rest(&parts, queue).await;
 }
 
+/// Bounds the rate of commits: one an interval on average, and a few at once
+/// after a quiet time.
+struct Pace {
+    interval: Duration,
+    burst: u32,
+    /// When the commits so far would be paid for at one an interval.
+    paid: Instant,
+}
+
+impl Pace {
+    fn new(interval: Duration, burst: u32) -> Self {
+        Pace { interval, burst, paid: Instant::now() }
+    }
+
+    /// Waits until another commit may begin.
+    async fn wait(&mut self) {
+        let now = Instant::now();
+        self.paid = self.paid.max(now) + self.interval;
+        let ahead = self.paid - now;
+        let allowed = self.interval * self.burst;
+        if ahead > allowed {
+            time::sleep(ahead - allowed).await;
+        }
+    }
+}
+
 /// Takes waiting batches until about one object is full.
 fn drain(
     queue: &mut mpsc::UnboundedReceiver<Batch>,
--- a/crates/gg-settings/src/daemon.rs
+++ b/crates/gg-settings/src/daemon.rs
@@ -23,13 +23,15 @@
     pub centre: Name,
     /// Folder for bulk data; empty on instances without a disk.
     pub data: String,
+    /// Threads that carry out the daemon's tasks.
+    pub workers: usize,
     /// Where the daemon listens.
     pub listen: ListenSettings,
     /// `ip:port` of the platform.
     pub platform: String,
     /// Longest wait for an answer of the platform.
     pub platform_timeout: Duration,
-    /// Least time between the beginnings of two journal commits.
+    /// Mean time between the beginnings of two journal commits, at least.
     pub commit_interval: Duration,
     /// Most journal bytes that wait for the platform.
     pub backlog_bytes: usize,
@@ -135,10 +137,11 @@
             instance: "instance".into(),
             centre: "centre".into(),
             data: String::new(),
+            workers: 2,
             listen: ListenSettings::default(),
             platform: "127.0.0.1:7000".into(),
             platform_timeout: Duration::from_secs(2),
-            commit_interval: Duration::from_millis(20),
+            commit_interval: Duration::from_millis(30),
             backlog_bytes: 64 << 20,
             timing: TimingSettings::default(),
             peer_key: String::new(),
@@ -191,6 +194,7 @@
     let name = instance_name(&instance, "name");
     let centre = instance_name(&instance, "data_centre");
     let data = instance.text_or("data", "");
+    let workers = instance.number("workers", default.workers, 1, 64);
     instance.finish();
     let platform = section("platform");
     let platform_address = platform.address("address", &default.platform);
@@ -209,6 +213,7 @@
         instance: name,
         centre,
         data,
+        workers,
         listen: read_listen(section("listen")),
         platform: platform_address,
         platform_timeout,
--- a/examples/fault_runs.rs
+++ b/examples/fault_runs.rs
@@ -30,12 +30,15 @@
     daemon: Option<String>,
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    if let Some(file) = arguments.daemon {
-        return support::run_daemon(&file).await;
+    if let Some(file) = &arguments.daemon {
+        return support::run_daemon(file);
     }
+    tokio::runtime::Runtime::new().expect("threads").block_on(run_all(arguments))
+}
+
+async fn run_all(arguments: Arguments) -> ExitCode {
     let slots = std::sync::Arc::new(Semaphore::new(arguments.parallel));
     let mut runs = JoinSet::new();
     for seed in arguments.first..arguments.first + arguments.seeds {
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -20,12 +20,15 @@
     daemon: Option<String>,
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    if let Some(file) = arguments.daemon {
-        return support::run_daemon(&file).await;
+    if let Some(file) = &arguments.daemon {
+        return support::run_daemon(file);
     }
+    tokio::runtime::Runtime::new().expect("threads").block_on(play_trace())
+}
+
+async fn play_trace() -> ExitCode {
     let settings = FleetSettings {
         daemons: 3,
         engines: 4,
--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -4,6 +4,8 @@
 
 use gg_fakes::Starter;
 use gg_settings::DaemonSettings;
+use mimalloc::MiMalloc;
+use tokio::runtime::Builder;
 
 /// Starts this program again as a daemon.
 pub fn starter() -> Starter {
@@ -11,8 +13,12 @@
     Starter { program, arguments: vec!["--daemon".into()] }
 }
 
+/// As in the daemon itself.
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
 /// Runs a daemon with the settings in `file`.
-pub async fn run_daemon(file: &str) -> ExitCode {
+pub fn run_daemon(file: &str) -> ExitCode {
     let text = std::fs::read_to_string(file).expect("settings file");
     let settings = match DaemonSettings::parse(file, &text) {
         Ok(settings) => settings,
@@ -22,7 +28,12 @@
         }
     };
     gg_daemon::init_logs(&settings.log, &settings.instance).expect("log");
-    match gg_daemon::run_until_signal(settings).await {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.workers)
+        .enable_all()
+        .build()
+        .expect("threads");
+    match runtime.block_on(gg_daemon::run_until_signal(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("error: {err}");
--- a/src/bin/greengageforkd.rs
+++ b/src/bin/greengageforkd.rs
@@ -5,6 +5,12 @@
 use argh::FromArgs;
 use gg_daemon::{init_logs, run_until_signal};
 use gg_settings::{DaemonSettings, SAMPLE};
+use mimalloc::MiMalloc;
+use tokio::runtime::Builder;
+
+/// A request makes many short-lived pieces of JSON.
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
 
 /// Exit status of faulty settings.
 const EXIT_FAULTS: u8 = 2;
@@ -61,9 +67,16 @@
     }
 }
 
-#[tokio::main]
-async fn serve(settings: DaemonSettings) -> ExitCode {
-    match run_until_signal(settings).await {
+fn serve(settings: DaemonSettings) -> ExitCode {
+    let runtime = Builder::new_multi_thread().worker_threads(settings.workers).enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            eprintln!("error: threads can't be started: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run_until_signal(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("error: {err}");
