--- a/crates/gg-daemon/src/adopt.rs
+++ b/crates/gg-daemon/src/adopt.rs
@@ -36,6 +36,7 @@
     for name in shared.membership.dead() {
         let members = shared.members();
         let adopter = owner(&name, None, &members).map(|member| &member.name);
+        log::debug!("event=dead instance={name} adopter={adopter:?}");
         if adopter != Some(&shared.settings.instance) {
             continue;
         }
@@ -109,10 +110,8 @@
     let mut book = read_sealed(home, journal, &mut journals).await?;
     book.take_over(wall_ms())?;
     let oldest = home.journal.length();
-    let snapshots: Vec<Record> =
-        book.programs.values().map(|program| Record::Snapshot(Box::new(program.clone()))).collect();
-    home.journal.append(&snapshots).await?;
-    let count = snapshots.len();
+    let count = book.programs.len();
+    commit_snapshots(home, &book).await?;
     home.install(&journals, book, oldest);
     home.shared.dispatcher.drop_home(journal);
     home.journal.append(&[Record::Adopted { journal: journal.clone() }]).await?;
@@ -128,6 +127,26 @@
     Ok(true)
 }
 
+/// Writes the adopted programs to our own journal, some at a time, so that
+/// an adoption of many neither fills the backlog nor holds up other commits.
+async fn commit_snapshots(home: &Arc<Home>, book: &Book) -> Result<(), AdoptError> {
+    let mut snapshots = Vec::new();
+    let mut messages = 0;
+    for program in book.programs.values() {
+        messages += program.history.len() + program.turns.len();
+        snapshots.push(Record::Snapshot(Box::new(program.clone())));
+        if messages >= SNAPSHOT_MESSAGES {
+            home.journal.append(&std::mem::take(&mut snapshots)).await?;
+            messages = 0;
+        }
+    }
+    home.journal.append(&snapshots).await?;
+    Ok(())
+}
+
+/// Messages and turns after which snapshots are committed.
+const SNAPSHOT_MESSAGES: usize = 2_000;
+
 /// Builds up the programs of a sealed journal, with those whose adoption it
 /// had begun and not finished. Adds the journals read to `journals`.
 async fn read_sealed(
--- a/crates/gg-daemon/src/tasks.rs
+++ b/crates/gg-daemon/src/tasks.rs
@@ -80,13 +80,17 @@
     };
     match time::timeout(PROBE_TIMEOUT, asked).await {
         Ok(Some(reply)) => {
+            log::debug!("event=probe_answered peer={name} journal={}", reply.journal);
             let known = shared.config.get().revision;
             shared.membership.note_answer(name, &reply.journal, reply.config, &reply.suspects);
             if reply.config > known {
                 fetch_config(shared, address, known).await;
             }
         }
-        _ => shared.membership.note_failure(name),
+        _ => {
+            log::debug!("event=probe_failed peer={name}");
+            shared.membership.note_failure(name);
+        }
     }
 }
 
@@ -101,13 +105,15 @@
 
 /// Reads the platform's list of instances.
 async fn read_instances(shared: Arc<Shared>) {
+    let mut known = None;
     loop {
-        if let Ok(list) = shared.platform.instances().await {
+        if let Ok(Some((version, list))) = shared.platform.instances(known).await {
+            known = Some(version);
             shared.membership.update_list(list);
-            for (name, _) in shared.config.get().upstreams() {
-                let leaving = shared.membership.leaving_upstreams().contains(&name);
-                shared.dispatcher.set_leaving(&name, leaving);
-            }
+        }
+        let leaving = shared.membership.leaving_upstreams();
+        for (name, _) in shared.config.get().upstreams() {
+            shared.dispatcher.set_leaving(&name, leaving.contains(&name));
         }
         time::sleep(shared.settings.timing.list).await;
     }
--- a/crates/gg-fakes/src/platform.rs
+++ b/crates/gg-fakes/src/platform.rs
@@ -189,7 +189,7 @@
         match path.as_str() {
             "/list" => self.list(&query),
             "/watch" => self.watch(&query).await,
-            "/instances" => self.instances(),
+            "/instances" => self.instances(request.headers().get(header::IF_NONE_MATCH)),
             _ => plain(StatusCode::NOT_FOUND),
         }
     }
@@ -301,14 +301,17 @@
         }
     }
 
-    fn instances(&self) -> Response<Body> {
+    fn instances(&self, known: Option<&HeaderValue>) -> Response<Body> {
         let mut state = self.lock();
         state.counts.instances += 1;
         let lag = state.faults.list_lag;
-        let seen = state.instances.iter().rev().find(|(at, _)| at.elapsed() >= lag);
-        let seen = seen.or(state.instances.first());
-        let list = seen.map(|(_, list)| list.clone()).unwrap_or_default();
-        json_response(StatusCode::OK, &list)
+        let seen = state.instances.iter().rposition(|(at, _)| at.elapsed() >= lag);
+        let version = seen.unwrap_or(0);
+        if known.is_some_and(|known| *known == *version.to_string()) {
+            return plain(StatusCode::NOT_MODIFIED);
+        }
+        let list = &state.instances[version].1;
+        with_version(json_response(StatusCode::OK, list), version as u64)
     }
 }
 
--- a/crates/gg-fakes/src/scenario.rs
+++ b/crates/gg-fakes/src/scenario.rs
@@ -209,7 +209,9 @@
             Err(_) => time::sleep(Duration::from_millis(100)).await,
         }
     };
-    let messages = view["history"].as_array().cloned().unwrap_or_default();
+    // Generated text may hold any words; only what was asked names its owner.
+    let mut messages = view["history"].as_array().cloned().unwrap_or_default();
+    messages.retain(|message| message["role"] == "user");
     let contents = messages.iter().map(|message| message["content"].as_str().unwrap_or("").into());
     log.push(Event::Recorded {
         program: program.clone(),
--- a/crates/gg-journal/src/journal.rs
+++ b/crates/gg-journal/src/journal.rs
@@ -158,7 +158,8 @@
         let records = encode(records)?;
         let bytes = records.iter().map(Piece::size).sum();
         let backlog = self.shared.backlog.load(Ordering::SeqCst);
-        if backlog + bytes > self.settings.backlog_bytes {
+        // A single append larger than the bound has to wait alone.
+        if backlog > 0 && backlog + bytes > self.settings.backlog_bytes {
             return Err(JournalError::Full);
         }
         self.shared.backlog.fetch_add(bytes, Ordering::SeqCst);
--- a/crates/gg-membership/src/view.rs
+++ b/crates/gg-membership/src/view.rs
@@ -127,12 +127,12 @@
     pub fn probe_targets(&self, count: usize) -> Vec<PeerInfo> {
         let inner = self.lock();
         let peers: Vec<PeerInfo> =
-            inner.entries().filter(|info| info.name != self.local).map(peer_info).collect();
+            inner.known().filter(|info| info.name != self.local).map(peer_info).collect();
         let doubtful = |peer: &&PeerInfo| {
-            inner
-                .evidence
-                .get(&peer.name)
-                .is_some_and(|evidence| evidence.failing.is_some() || !evidence.reports.is_empty())
+            let evidence = inner.evidence.get(&peer.name);
+            let reported =
+                evidence.is_some_and(|known| known.failing.is_some() || !known.reports.is_empty());
+            reported || inner.unlisted.contains_key(&peer.name)
         };
         let mut rng = rand::rng();
         let mut targets: Vec<PeerInfo> = peers.iter().filter(doubtful).cloned().collect();
--- a/crates/gg-membership/tests/view.rs
+++ b/crates/gg-membership/tests/view.rs
@@ -87,3 +87,13 @@
         assert_eq!(view.probe_targets(1)[0].name, "a3".into());
     }
 }
+
+#[test]
+fn unlisted_still_probed() {
+    let view = view();
+    view.note_failure(&"a1".into());
+    view.update_list(["a0", "a2", "a3"].map(info).to_vec());
+    view.update_list(["a0", "a2", "a3"].map(info).to_vec());
+    let targets = view.probe_targets(3);
+    assert!(targets.iter().any(|peer| peer.name == "a1".into()), "{targets:?}");
+}
--- a/crates/gg-peer/src/pool.rs
+++ b/crates/gg-peer/src/pool.rs
@@ -6,7 +6,7 @@
 };
 
 use indexmap::IndexMap;
-use jsonrpsee::ws_client::{PingConfig, WsClient, WsClientBuilder};
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use quick_error::quick_error;
 use tokio::{sync::OnceCell, time};
 
@@ -93,7 +93,9 @@
             .max_concurrent_requests(CALLS_MAX)
             .max_buffer_capacity_per_subscription(EVENTS_MAX)
             .set_tcp_no_delay(true)
-            .enable_ws_ping(PingConfig::default())
+            // Probes tell whether a peer lives; pings on every connection
+            // would grow with the fleet.
+            .disable_ws_ping()
             .set_headers(self.secret.headers());
         let connecting = builder.build(format!("ws://{address}"));
         match time::timeout(CONNECT_TIMEOUT, connecting).await {
--- a/crates/gg-platform/src/client.rs
+++ b/crates/gg-platform/src/client.rs
@@ -52,12 +52,23 @@
         Ok(reply.json()?)
     }
 
-    /// The platform's list of instances, which lags behind reality.
-    pub async fn instances(&self) -> Result<Vec<InstanceInfo>, PlatformError> {
-        let request = self.request(Method::GET, "/instances");
+    /// The platform's list of instances, which lags behind reality, with its
+    /// version; `None` if that is still `known`.
+    pub async fn instances(
+        &self,
+        known: Option<u64>,
+    ) -> Result<Option<(u64, Vec<InstanceInfo>)>, PlatformError> {
+        let mut request = self.request(Method::GET, "/instances");
+        if let Some(known) = known {
+            request = request.header(header::IF_NONE_MATCH, known);
+        }
         let reply = self.send(request.body(Bytes::new())?).await?;
+        if reply.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
         expect_ok(&reply)?;
-        Ok(reply.json()?)
+        let version = version(&reply).ok_or_else(no_version)?;
+        Ok(Some((version, reply.json()?)))
     }
 
     fn request(&self, method: Method, path: &str) -> http::request::Builder {
--- a/crates/gg-settings/src/daemon.rs
+++ b/crates/gg-settings/src/daemon.rs
@@ -104,7 +104,7 @@
             request: Duration::from_secs(120),
             order_wait: Duration::from_secs(5),
             probe: Duration::from_secs(1),
-            probe_peers: 3,
+            probe_peers: 1,
             suspect: Duration::from_secs(3),
             list: Duration::from_secs(1),
             config_list: Duration::from_secs(5),
--- /dev/null
+++ b/examples/capacity.rs
@@ -0,0 +1,325 @@
+//! Slopes for docs/CAPACITY.md: what control costs by fleet size, what idle
+//! programs, long histories and many replicas cost one daemon.
+//!
+//! `cargo run --release --example capacity -- fleet`
+//! `cargo run --release --example capacity -- programs`
+//! `cargo run --release --example capacity -- history`
+//! `cargo run --release --example capacity -- replicas`
+//! `cargo run --release --example capacity -- config`
+//! `cargo run --release --example capacity -- failover`
+
+use std::{fs, process::ExitCode, time::Duration};
+
+use argh::FromArgs;
+use gg_fakes::{CallerClient, EngineCosts, Faults, Fleet, FleetSettings, Told};
+use gg_operator::OperatorClient;
+use hdrhistogram::Histogram;
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+
+mod support;
+
+/// Measures what each role costs by size.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// fleet, programs, history, replicas, config or failover
+    #[argh(positional, default = "String::from(\"fleet\")")]
+    part: String,
+
+    /// sizes to measure, separated by commas
+    #[argh(option)]
+    sizes: Option<String>,
+
+    /// length of each measurement, in seconds (20)
+    #[argh(option, default = "20")]
+    seconds: u64,
+
+    /// settings file of one daemon; used when this example starts itself
+    #[argh(option)]
+    daemon: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if let Some(file) = &arguments.daemon {
+        return support::run_daemon(file);
+    }
+    tokio::runtime::Runtime::new().expect("threads").block_on(measure(arguments))
+}
+
+async fn measure(arguments: Arguments) -> ExitCode {
+    let length = Duration::from_secs(arguments.seconds);
+    let sizes = |default: &str| -> Vec<usize> {
+        let text = arguments.sizes.clone().unwrap_or_else(|| default.into());
+        text.split(',').filter_map(|size| size.trim().parse().ok()).collect()
+    };
+    match arguments.part.as_str() {
+        "fleet" => fleets(sizes("3,6,9,18,36"), length).await,
+        "programs" => programs(sizes("1000,10000,35000,70000"), length).await,
+        "history" => histories(sizes("1000,10000,70000,280000")).await,
+        "replicas" => replicas(sizes("10,100,500,2300")).await,
+        "config" => in_force(sizes("3,9,18")).await,
+        "failover" => failover(sizes("3,9")).await,
+        other => {
+            eprintln!("error: no part {other}; use one of the parts in --help");
+            return ExitCode::from(2);
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+/// A profile whose limits no measurement reaches.
+const PROFILE: &str = "[profile background]\nrank = 1\ntarget_ms = 600000000\n\
+                       budget_tokens = 1000000000000\n";
+
+/// A fleet with the default timing, as in production.
+fn settings(daemons: usize) -> FleetSettings {
+    FleetSettings {
+        daemons,
+        timing: String::new(),
+        config: PROFILE.into(),
+        log_level: "warn".into(),
+        costs: EngineCosts {
+            token: Duration::ZERO,
+            per_sequence: Duration::ZERO,
+            prefill_per_ms: 1e9,
+            cache_tokens: u64::MAX,
+            ..EngineCosts::default()
+        },
+        ..FleetSettings::default()
+    }
+}
+
+/// Bytes sent over loopback so far, headers included.
+fn loopback_bytes() -> u64 {
+    let text = fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text.lines().find(|line| line.trim_start().starts_with("lo:"));
+    let sent = line.and_then(|line| line.split_whitespace().nth(9));
+    sent.and_then(|sent| sent.parse().ok()).unwrap_or(0)
+}
+
+/// What idle control costs a daemon: bytes, platform calls, processor time,
+/// memory.
+async fn fleets(sizes: Vec<usize>, length: Duration) {
+    println!(
+        "daemons  bytes/s each  calls/s each: get list watch instances  cpu % each  rss MB each"
+    );
+    for size in sizes {
+        let fleet = Fleet::start(support::starter(), settings(size)).await;
+        // Connections are made and lists read before anything is counted.
+        time::sleep(Duration::from_secs(10)).await;
+        let (bytes, calls, cpu) = (loopback_bytes(), fleet.platform.counts(), total_cpu(&fleet));
+        let began = Instant::now();
+        time::sleep(length).await;
+        let seconds = began.elapsed().as_secs_f64() * size as f64;
+        let bytes = (loopback_bytes() - bytes) as f64 / seconds;
+        let now = fleet.platform.counts();
+        let rate = |now: u64, before: u64| (now - before) as f64 / seconds;
+        let cpu = (total_cpu(&fleet) - cpu).as_secs_f64() * 100.0 / seconds;
+        let memory: u64 = fleet.daemons.iter().map(|daemon| daemon.memory()).sum();
+        println!(
+            "{size:>7}  {bytes:>12.0}  {:>17.2} {:>5.2} {:>5.2} {:>5.2}  {cpu:>10.2}  {:>11.1}",
+            rate(now.gets, calls.gets),
+            rate(now.lists, calls.lists),
+            rate(now.watches, calls.watches),
+            rate(now.instances, calls.instances),
+            memory as f64 / size as f64 / 1e6,
+        );
+    }
+}
+
+fn total_cpu(fleet: &Fleet) -> Duration {
+    fleet.daemons.iter().map(|daemon| daemon.cpu()).sum()
+}
+
+/// What idle programs cost one home: memory, upkeep, and adoption.
+async fn programs(sizes: Vec<usize>, length: Duration) {
+    println!("programs  rss MB  cpu % idle  journal MB  adoption s");
+    for size in sizes {
+        let mut fleet = Fleet::start(support::starter(), settings(1)).await;
+        start_programs(&fleet, size).await;
+        time::sleep(Duration::from_secs(2)).await;
+        let cpu = total_cpu(&fleet);
+        time::sleep(length / 4).await;
+        let cpu = (total_cpu(&fleet) - cpu).as_secs_f64() * 100.0 / (length / 4).as_secs_f64();
+        let memory = fleet.daemons[0].memory() as f64 / 1e6;
+        let journal = fleet.platform.bytes() as f64 / 1e6;
+        let began = Instant::now();
+        fleet.restart(0);
+        let caller = fleet.caller("ukhozi");
+        let last = format!("a0.1.{size}");
+        while caller.read(&last).await.is_err() {
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        let adoption = began.elapsed().as_secs_f64();
+        println!("{size:>8}  {memory:>6.1}  {cpu:>10.1}  {journal:>10.1}  {adoption:>10.2}");
+    }
+}
+
+/// Starts programs and takes one turn in each.
+async fn start_programs(fleet: &Fleet, count: usize) {
+    const CALLERS: usize = 200;
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS.min(count) {
+        let caller = fleet.caller("ukhozi");
+        let share = count / CALLERS.min(count) + usize::from(number < count % CALLERS.min(count));
+        callers.spawn(async move {
+            for _ in 0..share {
+                let program = caller.start("background", None).await.expect("a program");
+                one_turn(&caller, &program, 0, &"glue ".repeat(40)).await;
+            }
+        });
+    }
+    callers.join_all().await;
+}
+
+async fn one_turn(caller: &CallerClient, program: &str, turn: u32, content: &str) -> Duration {
+    let began = Instant::now();
+    let told = caller.turn(program, turn, content, 16).await;
+    assert!(matches!(told, Told::Done(_)), "{told:?}");
+    began.elapsed()
+}
+
+/// What a long history costs: memory, and the time and processor time of
+/// one more turn.
+async fn histories(sizes: Vec<usize>) {
+    println!("tokens  rss MB  turn ms  cpu ms/turn");
+    for size in sizes {
+        let fleet = Fleet::start(support::starter(), settings(1)).await;
+        let caller = fleet.caller("ukhozi");
+        let program = caller.start("background", None).await.expect("a program");
+        const TURNS: u32 = 20;
+        let content = "glue".repeat(size / TURNS as usize);
+        for turn in 0..TURNS {
+            one_turn(&caller, &program, turn, &format!("{turn} {content}")).await;
+        }
+        let cpu = total_cpu(&fleet);
+        let mut took = Duration::ZERO;
+        for turn in TURNS..TURNS * 2 {
+            took += one_turn(&caller, &program, turn, &format!("and lot {turn}")).await;
+        }
+        let cpu = (total_cpu(&fleet) - cpu).as_secs_f64() * 1000.0 / f64::from(TURNS);
+        let memory = fleet.daemons[0].memory() as f64 / 1e6;
+        let took = took.as_secs_f64() * 1000.0 / f64::from(TURNS);
+        println!("{size:>6}  {memory:>6.1}  {took:>7.2}  {cpu:>11.2}");
+    }
+}
+
+/// What many configured replicas cost one daemon: memory, and the processor
+/// time of a call.
+async fn replicas(sizes: Vec<usize>) {
+    println!("replicas  rss MB  cpu us/call  cpu % idle");
+    for size in sizes {
+        let fleet = Fleet::start(support::starter(), settings(1)).await;
+        let mut config = String::new();
+        for index in 0..size {
+            config.push_str(&format!(
+                "[upstream x{index}]\naddress = 127.0.0.1:9\ndata_centre = north\nmodels = other{}\n",
+                index % 30
+            ));
+        }
+        fleet.apply(&config).await;
+        time::sleep(Duration::from_secs(2)).await;
+        let idle = total_cpu(&fleet);
+        time::sleep(Duration::from_secs(5)).await;
+        let idle = (total_cpu(&fleet) - idle).as_secs_f64() * 100.0 / 5.0;
+        let cpu = total_cpu(&fleet);
+        let calls = 2_000;
+        start_programs(&fleet, calls).await;
+        let cpu = (total_cpu(&fleet) - cpu).as_micros() as usize / calls;
+        let memory = fleet.daemons[0].memory() as f64 / 1e6;
+        println!("{size:>8}  {memory:>6.1}  {cpu:>11}  {idle:>10.1}");
+    }
+}
+
+/// Changes measured for each size and fault.
+const CHANGES: u64 = 60;
+
+/// Time from an accepted change until it is in force on all daemons: with
+/// all watch events, with none, and after an outage.
+async fn in_force(sizes: Vec<usize>) {
+    println!("daemons  fault        p50 ms  p99 ms");
+    for size in sizes {
+        let fleet = Fleet::start(support::starter(), settings(size)).await;
+        time::sleep(Duration::from_secs(5)).await;
+        for (name, drop_events) in [("none", 0.0), ("no events", 1.0)] {
+            fleet.platform.set_faults(Faults { drop_events, ..Faults::default() });
+            let mut times = Histogram::<u64>::new_with_bounds(1, 600_000, 3).expect("bounds");
+            let changes = if drop_events > 0.0 { CHANGES / 4 } else { CHANGES };
+            for change in 0..changes {
+                let took = one_change(&fleet, change).await;
+                times.saturating_record(took.as_millis() as u64);
+            }
+            let (half, most) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+            println!("{size:>7}  {name:<11}  {half:>6}  {most:>6}");
+        }
+    }
+}
+
+/// Changes one profile and waits until every daemon has it in force.
+async fn one_change(fleet: &Fleet, number: u64) -> Duration {
+    let daemon = &fleet.daemons[number as usize % fleet.daemons.len()];
+    let client = OperatorClient::new(&daemon.operators, "");
+    let text = format!("[profile changing]\nrank = 2\ntarget_ms = {}\n", 1000 + number);
+    let accepted = client.apply(&text, true).await.expect("an accepted change");
+    let version = accepted[0].version;
+    let began = Instant::now();
+    for daemon in &fleet.daemons {
+        let client = OperatorClient::new(&daemon.operators, "");
+        loop {
+            let versions = client.versions().await.unwrap_or_default();
+            let seen = versions.iter().find(|seen| &*seen.key == "profile/changing");
+            if seen.is_some_and(|seen| seen.version >= version) {
+                break;
+            }
+            time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+    began.elapsed()
+}
+
+/// Kills measured for each size.
+const KILLS: usize = 20;
+
+/// Time from the kill of a home to the first turn that its adopter serves,
+/// when the daemon does not come back.
+async fn failover(sizes: Vec<usize>) {
+    println!("daemons  noticed by        p50 ms  p99 ms");
+    for size in sizes {
+        for listed in [true, false] {
+            let mut times = Histogram::<u64>::new_with_bounds(1, 600_000, 3).expect("bounds");
+            let mut fleet = Fleet::start(support::starter(), settings(size)).await;
+            time::sleep(Duration::from_secs(5)).await;
+            for number in 0..KILLS {
+                let took = one_kill(&mut fleet, number % size, listed).await;
+                times.saturating_record(took.as_millis() as u64);
+            }
+            let name = if listed { "probes" } else { "platform's list" };
+            let (half, most) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+            println!("{size:>7}  {name:<15}  {half:>6}  {most:>6}");
+        }
+    }
+}
+
+async fn one_kill(fleet: &mut Fleet, index: usize, listed: bool) -> Duration {
+    let caller = fleet.caller_of("ukhozi", index);
+    let program = caller.start("background", None).await.expect("a program");
+    one_turn(&caller, &program, 0, "before").await;
+    fleet.daemons[index].kill();
+    if !listed {
+        let name = fleet.daemons[index].name.clone();
+        fleet.platform.unlist_instance(&name);
+    }
+    let others = fleet.caller("ukhozi");
+    let began = Instant::now();
+    while !matches!(others.turn(&program, 1, "after", 4).await, Told::Done(_)) {
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    let took = began.elapsed();
+    fleet.restart(index);
+    fleet.wait_ready().await;
+    time::sleep(Duration::from_secs(2)).await;
+    took
+}
