--- a/crates/gg-daemon/src/running.rs
+++ b/crates/gg-daemon/src/running.rs
@@ -11,7 +11,7 @@
 use gg_protocol::{Name, StepEvent};
 use tokio::{
     sync::{mpsc, watch},
-    time,
+    time::{self, Instant},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -94,6 +94,7 @@
     /// Adds a follower.
     pub(crate) fn join(self: &Arc<Self>) -> Follower {
         self.followers.fetch_add(1, Ordering::SeqCst);
+        self.changed.send_replace(());
         Follower(self.clone())
     }
 
@@ -101,28 +102,30 @@
     /// and after a pause in which a follower may come back once it has begun.
     pub(crate) async fn deserted(&self) {
         let mut changed = self.changed.subscribe();
+        let mut since = None;
         loop {
+            if self.has_followers() {
+                since = None;
+            } else if !self.lock().begun {
+                return;
+            } else {
+                since.get_or_insert_with(Instant::now);
+            }
+            // New text must not begin the pause anew.
+            let pause = async {
+                match since {
+                    Some(since) => time::sleep_until(since + REJOIN_PAUSE).await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
-                () = self.alone() => return,
+                () = pause => return,
                 () = self.cancelled.cancelled() => return,
                 _ = changed.changed() => {}
             }
         }
     }
 
-    /// Resolves if there is no follower now, nor after the pause.
-    async fn alone(&self) {
-        if self.has_followers() {
-            return std::future::pending().await;
-        }
-        if self.lock().begun {
-            time::sleep(REJOIN_PAUSE).await;
-        }
-        if self.has_followers() {
-            std::future::pending().await
-        }
-    }
-
     fn has_followers(&self) -> bool {
         self.followers.load(Ordering::SeqCst) > 0
     }
--- a/crates/gg-fakes/src/fleet.rs
+++ b/crates/gg-fakes/src/fleet.rs
@@ -6,6 +6,10 @@
     net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{
+        LazyLock,
+        atomic::{AtomicU16, Ordering},
+    },
     time::Duration,
 };
 
@@ -413,8 +417,19 @@
     folder
 }
 
-/// A loopback address that was free a moment ago.
+/// Ports for daemons, below those that the system gives to connections, which
+/// could take one before its daemon listens.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// A loopback address that was free a moment ago, handed out only once by
+/// this process, so that a daemon that is down keeps its ports.
 fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback port");
-    listener.local_addr().expect("bound address").to_string()
+    static NEXT: LazyLock<AtomicU16> = LazyLock::new(|| AtomicU16::new(rand::random_range(PORTS)));
+    loop {
+        let port = PORTS.start + NEXT.fetch_add(1, Ordering::Relaxed) % (PORTS.end - PORTS.start);
+        let address = format!("127.0.0.1:{port}");
+        if TcpListener::bind(&address).is_ok() {
+            return address;
+        }
+    }
 }
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,109 @@
+//! A change of configuration is accepted once, in force everywhere, and
+//! never reverts.
+
+mod support;
+
+use std::time::Duration;
+
+use gg_fakes::{Faults, Fleet, FleetSettings};
+use gg_operator::{OperatorClient, OperatorError};
+use tokio::time;
+
+const KEY: &str = "profile/changing";
+
+fn operator(fleet: &Fleet, index: usize) -> OperatorClient {
+    OperatorClient::new(&fleet.daemons[index].operators, "")
+}
+
+fn change(target_ms: u64, version: u64) -> String {
+    format!("[profile changing]\nrank = 2\ntarget_ms = {target_ms}\nversion = {version}\n")
+}
+
+/// Version of the profile in force at a daemon.
+async fn version(fleet: &Fleet, index: usize) -> u64 {
+    let versions = operator(fleet, index).versions().await.unwrap_or_default();
+    versions.iter().find(|one| &*one.key == KEY).map_or(0, |one| one.version)
+}
+
+/// Waits until all daemons have a version in force; none may go back.
+async fn in_force(fleet: &Fleet, wanted: u64) {
+    let mut last = vec![0; fleet.daemons.len()];
+    for _ in 0..600 {
+        for (index, last) in last.iter_mut().enumerate() {
+            let now = version(fleet, index).await;
+            assert!(now >= *last || now == 0, "a{index} went back from {last} to {now}");
+            *last = now;
+        }
+        if last.iter().all(|version| *version >= wanted) {
+            return;
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("version {wanted} is not in force everywhere: {last:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators() {
+    let fleet = support::fleet(FleetSettings::default()).await;
+    let (one, two) = (operator(&fleet, 0), operator(&fleet, 1));
+    let first = one.apply(&change(1000, 0), false).await.expect("a new profile");
+    let base = first[0].version;
+    let (left, right) = (change(2000, base), change(3000, base));
+    let (left, right) = tokio::join!(one.apply(&left, false), two.apply(&right, false));
+    assert_eq!(usize::from(left.is_ok()) + usize::from(right.is_ok()), 1);
+    let loser = left.and(right).expect_err("one of them is refused");
+    let OperatorError::Refused(status, _, _, body) = loser else { panic!("{loser}") };
+    assert_eq!(status, 409);
+    assert!(body["current"]["document"]["target_ms"].is_u64(), "{body}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_resolved() {
+    let fleet = support::fleet(FleetSettings::default()).await;
+    fleet.platform.set_faults(Faults { lose_answers: 1.0, ..Faults::default() });
+    let accepted = operator(&fleet, 0).apply(&change(1000, 0), false).await.expect("accepted");
+    fleet.platform.set_faults(Faults::default());
+    in_force(&fleet, accepted[0].version).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gap_in_watch() {
+    let fleet = support::fleet(FleetSettings::default()).await;
+    fleet.platform.set_faults(Faults { drop_events: 1.0, ..Faults::default() });
+    let accepted = operator(&fleet, 0).apply(&change(1000, 0), false).await.expect("accepted");
+    in_force(&fleet, accepted[0].version).await;
+}
+
+/// Accepted just before an outage: the others take it from the one that has
+/// it.
+#[tokio::test(flavor = "multi_thread")]
+async fn through_an_outage() {
+    let fleet = support::fleet(FleetSettings::default()).await;
+    fleet.platform.set_faults(Faults { drop_events: 1.0, ..Faults::default() });
+    let accepted = operator(&fleet, 0).apply(&change(1000, 0), false).await.expect("accepted");
+    fleet.platform.set_faults(Faults { outage: true, ..Faults::default() });
+    in_force(&fleet, accepted[0].version).await;
+    let refused = operator(&fleet, 1).apply(&change(2000, accepted[0].version), false).await;
+    assert!(refused.is_err(), "nothing is accepted while the platform is out");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_daemon_catches_up() {
+    let fleet = support::fleet(FleetSettings::default()).await;
+    fleet.daemons[2].signal(libc::SIGSTOP);
+    let mut last = 0;
+    for number in 0..10 {
+        let text = change(1000 + number, last);
+        last = operator(&fleet, 0).apply(&text, false).await.expect("accepted")[0].version;
+    }
+    fleet.daemons[2].signal(libc::SIGCONT);
+    in_force(&fleet, last).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_keeps_version() {
+    let mut fleet = support::fleet(FleetSettings::default()).await;
+    let accepted = operator(&fleet, 0).apply(&change(1000, 0), false).await.expect("accepted");
+    fleet.restart(1);
+    in_force(&fleet, accepted[0].version).await;
+}
