--- a/crates/gg-fakes/src/trace.rs
+++ b/crates/gg-fakes/src/trace.rs
@@ -3,6 +3,7 @@
 use std::{path::Path, sync::Arc, time::Duration};
 
 use futures::{FutureExt, future::BoxFuture};
+use gg_protocol::clock::wall_ms;
 use serde::{Deserialize, Serialize};
 use tokio::{task::JoinSet, time};
 
@@ -54,6 +55,9 @@
     pub in_target: bool,
     /// Finished turns, those of sub-agents included.
     pub turns: u32,
+    /// Wall times of their ends, in ms.
+    #[serde(skip)]
+    pub ends_ms: Vec<u64>,
     /// Why it did not finish; empty if it did.
     pub failed: String,
     /// Whether it was refused at its start.
@@ -100,6 +104,7 @@
         took_ms: 0,
         in_target: false,
         turns: 0,
+        ends_ms: Vec::new(),
         failed: String::new(),
         refused: false,
         ideal_tokens: 0,
@@ -114,6 +119,7 @@
             let shape_turns = Arc::new(shape.turns.clone());
             let part = turns(caller.clone(), program.clone(), shape.profile, shape_turns).await;
             outcome.turns = part.turns;
+            outcome.ends_ms = part.ends_ms;
             outcome.ideal_tokens = part.tokens;
             outcome.failed = part.failed;
             outcome.retries = part.retries;
@@ -131,6 +137,7 @@
     tokens: u64,
     failed: String,
     retries: u32,
+    ends_ms: Vec<u64>,
 }
 
 /// Carries out the turns of one program, and of its sub-agents.
@@ -144,7 +151,10 @@
     for (number, shape) in shapes.iter().enumerate() {
         let number = number as u32;
         match one_turn(&caller, &program, number, shape, &mut part).await {
-            Ok(()) => part.turns += 1,
+            Ok(()) => {
+                part.turns += 1;
+                part.ends_ms.push(wall_ms());
+            }
             Err(failed) => {
                 part.failed = failed;
                 return part;
@@ -160,6 +170,7 @@
             part.turns += agent.turns;
             part.tokens += agent.tokens;
             part.retries += agent.retries;
+            part.ends_ms.extend(agent.ends_ms);
             if part.failed.is_empty() {
                 part.failed = agent.failed;
             }
--- /dev/null
+++ b/examples/flood.rs
@@ -0,0 +1,147 @@
+//! Floods: three times the fleet's capacity, first of the less urgent work,
+//! then of the urgent, beside a steady load of the other.
+//!
+//! `cargo run --release --example flood`
+
+use std::{process::ExitCode, time::Duration};
+
+use argh::FromArgs;
+use gg_fakes::{
+    CUSTOMERS, EngineCosts, Fleet, FleetSettings, Outcome, ProgramShape, Random, TurnShape, play,
+    print_rows, summarize,
+};
+use gg_protocol::clock::wall_ms;
+
+mod support;
+
+/// Plays floods and prints what each rank received.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// seeds to play (1)
+    #[argh(option, default = "1")]
+    seeds: u64,
+
+    /// length of the arrivals, in seconds (10)
+    #[argh(option, default = "10")]
+    seconds: u64,
+
+    /// settings file of one daemon; used when this example starts itself
+    #[argh(option)]
+    daemon: Option<String>,
+}
+
+/// Profiles with targets that fit the scaled costs of the engines.
+const PROFILES: &str = "
+[profile urgent]
+rank = 0
+target_ms = 3000
+budget_tokens = 1000000
+floor_percent = 0
+
+[profile background]
+rank = 1
+target_ms = 20000
+budget_tokens = 1000000
+floor_percent = 20
+";
+
+/// Turns a second that the engines carry out within the targets for tokens,
+/// once their limits have grown.
+const CAPACITY: f64 = 660.0;
+
+/// A kind of work: profile, target and turns a program.
+struct Kind {
+    profile: &'static str,
+    target_ms: u64,
+    turns: u64,
+}
+
+const URGENT: Kind = Kind { profile: "urgent", target_ms: 3_000, turns: 3 };
+const BACKGROUND: Kind = Kind { profile: "background", target_ms: 20_000, turns: 6 };
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if let Some(file) = &arguments.daemon {
+        return support::run_daemon(file);
+    }
+    tokio::runtime::Runtime::new().expect("threads").block_on(floods(arguments))
+}
+
+async fn floods(arguments: Arguments) -> ExitCode {
+    for seed in 1..=arguments.seeds {
+        for (name, urgent, background) in
+            [("steady", 0.3, 0.3), ("flood of background", 0.3, 3.0), ("flood of urgent", 3.0, 0.3)]
+        {
+            println!("seed {seed}: {name} (urgent {urgent}x, background {background}x capacity)");
+            flood(&arguments, seed, urgent, background).await;
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+async fn flood(arguments: &Arguments, seed: u64, urgent: f64, background: f64) {
+    let settings = FleetSettings {
+        daemons: 3,
+        engines: 4,
+        slots: 4,
+        costs: EngineCosts {
+            token: Duration::from_millis(2),
+            per_sequence: Duration::from_micros(100),
+            prefill_per_ms: 50.0,
+            ..EngineCosts::default()
+        },
+        config: PROFILES.into(),
+        log_level: "warn".into(),
+        seed,
+        ..FleetSettings::default()
+    };
+    let fleet = Fleet::start(support::starter(), settings).await;
+    let callers: Vec<_> =
+        CUSTOMERS.iter().map(|name| ((*name).to_owned(), fleet.caller(name))).collect();
+    let length_ms = arguments.seconds * 1000;
+    let mut shapes = arrivals(seed * 2, &URGENT, urgent, length_ms);
+    shapes.extend(arrivals(seed * 2 + 1, &BACKGROUND, background, length_ms));
+    let began_ms = wall_ms();
+    let outcomes = play(&callers, shapes).await;
+    print_rows(&summarize(&outcomes, &[URGENT.profile, BACKGROUND.profile]));
+    // The first third fills the queues.
+    let window = began_ms + length_ms / 3..began_ms + length_ms;
+    let turns = |profile: &str| turns_within(&outcomes, profile, &window) as f64;
+    let (urgent, background) = (turns(URGENT.profile), turns(BACKGROUND.profile));
+    let share = background / (urgent + background).max(1.0);
+    let seconds = (window.end - window.start) as f64 / 1000.0;
+    println!(
+        "while it arrived: {:.0} turns/s, background {:.1} % of them\n",
+        (urgent + background) / seconds,
+        share * 100.0
+    );
+}
+
+fn turns_within(outcomes: &[Outcome], profile: &str, window: &std::ops::Range<u64>) -> usize {
+    let outcomes = outcomes.iter().filter(|outcome| outcome.profile == profile);
+    outcomes.flat_map(|outcome| &outcome.ends_ms).filter(|end| window.contains(end)).count()
+}
+
+/// Programs that arrive at random at `load` times the capacity.
+fn arrivals(seed: u64, kind: &Kind, load: f64, length_ms: u64) -> Vec<ProgramShape> {
+    let mut random = Random::new(seed);
+    let gap_ms = 1000.0 * kind.turns as f64 / (CAPACITY * load);
+    let mut shapes = Vec::new();
+    // Sums of whole milliseconds would lose the parts.
+    let mut at = 0.0;
+    loop {
+        at += random.pause_ms(gap_ms * 1000.0) as f64 / 1000.0;
+        if at as u64 >= length_ms {
+            return shapes;
+        }
+        let turn = || TurnShape { prompt: 40, generate: 24, ..TurnShape::default() };
+        let customer = CUSTOMERS[shapes.len() % CUSTOMERS.len()];
+        shapes.push(ProgramShape {
+            at_ms: at as u64,
+            customer: customer.into(),
+            profile: kind.profile.into(),
+            target_ms: kind.target_ms,
+            turns: (0..kind.turns).map(|_| turn()).collect(),
+        });
+    }
+}
