Replaced homes show no old state; engines are freed of unrecorded turns

Ruled out: lost records; a later read showed all turns.

Services of the fault runs take 200 ms, so that faults meet calls under way. Admission reckons with how many programs share the turns finished now.

--- a/crates/gg-daemon/src/adopt.rs
+++ b/crates/gg-daemon/src/adopt.rs
@@ -109,6 +109,7 @@
     let mut journals = Vec::new();
     let mut book = read_sealed(home, journal, &mut journals).await?;
     book.take_over(wall_ms())?;
+    note_engines(home, &mut book);
     let oldest = home.journal.length();
     let count = book.programs.len();
     commit_snapshots(home, &book).await?;
@@ -127,6 +128,24 @@
     Ok(true)
 }
 
+/// Notes every engine that may hold something of the adopted programs. The
+/// former owner may have been lost after an engine finished a turn and before
+/// the turn was recorded.
+fn note_engines(home: &Home, book: &mut Book) {
+    let config = home.shared.config.get();
+    for program in book.programs.values_mut() {
+        let engines: Vec<Name> = match program.model() {
+            Some(model) => config.engines(model).into_iter().map(|(name, _)| name).collect(),
+            None => config.all_engines(),
+        };
+        let known = std::mem::take(&mut program.upstreams);
+        let unknown = engines.into_iter().filter(|engine| !known.contains(engine));
+        program.upstreams = unknown.collect();
+        // The last one is taken for warm, so those that are known come last.
+        program.upstreams.extend(known);
+    }
+}
+
 /// Writes the adopted programs to our own journal, some at a time, so that
 /// an adoption of many neither fills the backlog nor holds up other commits.
 async fn commit_snapshots(home: &Arc<Home>, book: &Book) -> Result<(), AdoptError> {
--- a/crates/gg-daemon/src/api.rs
+++ b/crates/gg-daemon/src/api.rs
@@ -103,7 +103,7 @@
         customer: Option<Name>,
     ) -> RpcResult<Result<ProgramView, Failure>> {
         Ok(match self.home_of(&program.birth).await {
-            Ok(home) => home.read(&program, customer.as_ref()),
+            Ok(home) => home.read(&program, customer.as_ref()).await,
             Err(failure) => Err(failure),
         })
     }
--- a/crates/gg-daemon/src/config.rs
+++ b/crates/gg-daemon/src/config.rs
@@ -92,6 +92,13 @@
         engines.collect()
     }
 
+    /// Names of all engines.
+    pub fn all_engines(&self) -> Vec<Name> {
+        let engines =
+            self.upstreams().filter(|(_, upstream)| upstream.kind == UpstreamKind::Engine);
+        engines.map(|(name, _)| name).collect()
+    }
+
     /// Replicas of a service.
     pub fn services(&self, service: &str) -> Vec<(Name, &Upstream)> {
         let replicas = self.upstreams().filter(|(_, upstream)| {
--- a/crates/gg-daemon/src/forecast.rs
+++ b/crates/gg-daemon/src/forecast.rs
@@ -17,6 +17,9 @@
 /// Observed waits count half after this time without another.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Share of the target that a program may be expected to take.
+const TARGET_SHARE: f64 = 0.8;
+
 /// Shortest time that a refused caller is told to stay away, in ms.
 const RETRY_MIN_MS: f64 = 500.0;
 
@@ -35,14 +38,88 @@
     at: Instant,
 }
 
+/// Programs of one profile under way here, and the turns that they finish.
+#[derive(Clone, Copy, Debug)]
+struct Activity {
+    programs: f64,
+    /// Finished turns, halved every [`RATE_HALF_LIFE`].
+    turns: f64,
+    at: Instant,
+    since: Instant,
+}
+
+impl Activity {
+    fn new(now: Instant) -> Self {
+        Activity { programs: 0.0, turns: 0.0, at: now, since: now }
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let halves = now.duration_since(self.at).as_secs_f64() / RATE_HALF_LIFE.as_secs_f64();
+        self.turns *= 0.5_f64.powf(halves);
+        self.at = now;
+    }
+
+    /// Time in which each program under way gets one turn, in ms; `None`
+    /// while too few turns were seen to tell.
+    fn round_ms(&self) -> Option<f64> {
+        if self.turns < TURNS_MIN {
+            return None;
+        }
+        let half_life = RATE_HALF_LIFE.as_secs_f64();
+        let halves = self.at.duration_since(self.since).as_secs_f64() / half_life;
+        // The count has not seen a whole life in the beginning.
+        let seen = 1.0 - 0.5_f64.powf(halves);
+        let life_ms = half_life * 1000.0 / std::f64::consts::LN_2;
+        Some((self.programs + 1.0) * life_ms * seen / self.turns)
+    }
+}
+
+/// Half-life of the count of finished turns.
+const RATE_HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// Fewest recent turns that tell a rate.
+const TURNS_MIN: f64 = 10.0;
+
 /// What this daemon has seen of profiles and queues.
 #[derive(Debug, Default)]
 pub(crate) struct Forecast {
+    activities: Mutex<HashMap<Name, Activity>>,
     shapes: Mutex<HashMap<Name, Shape>>,
     waits: Mutex<[Option<Wait>; RANKS]>,
 }
 
 impl Forecast {
+    /// Takes in that a program began here.
+    pub(crate) fn note_start(&self, profile: &Name) {
+        self.change(profile, |activity| activity.programs += 1.0);
+    }
+
+    /// Takes in that a program ended here.
+    pub(crate) fn note_end(&self, profile: &Name) {
+        self.change(profile, |activity| activity.programs = (activity.programs - 1.0).max(0.0));
+    }
+
+    /// Takes in a finished turn.
+    pub(crate) fn note_turn(&self, profile: &Name) {
+        self.change(profile, |activity| activity.turns += 1.0);
+    }
+
+    fn change(&self, profile: &Name, change: impl FnOnce(&mut Activity)) {
+        let now = Instant::now();
+        let mut activities = lock(&self.activities);
+        let activity = activities.entry(profile.clone()).or_insert_with(|| Activity::new(now));
+        activity.decay(now);
+        change(activity);
+    }
+
+    /// Time in which each program of the profile gets one turn, in ms.
+    fn round_ms(&self, profile: &Name) -> f64 {
+        let mut activities = lock(&self.activities);
+        let Some(activity) = activities.get_mut(profile) else { return 0.0 };
+        activity.decay(Instant::now());
+        activity.round_ms().unwrap_or(0.0)
+    }
+
     /// Takes in a finished program of `turns` turns.
     pub(crate) fn note_program(&self, profile: &Name, turns: usize, busy_ms: u64) {
         if turns == 0 {
@@ -78,8 +155,10 @@
     pub(crate) fn refusal(&self, profile: &Name, rank: Rank, target_ms: u64) -> Option<u64> {
         let shape = lock(&self.shapes).get(profile).copied().unwrap_or_default();
         let turns = shape.turns.max(1.0);
-        let expected = turns * (shape.turn_ms + self.wait_ms(rank));
-        let over = expected - target_ms as f64;
+        // Whichever tells more: the waits seen, which come late, or how many
+        // programs share the turns that are finished now.
+        let turn_ms = (shape.turn_ms + self.wait_ms(rank)).max(self.round_ms(profile));
+        let over = turns * turn_ms - target_ms as f64 * TARGET_SHARE;
         if over <= 0.0 {
             return None;
         }
--- a/crates/gg-daemon/src/home.rs
+++ b/crates/gg-daemon/src/home.rs
@@ -190,6 +190,9 @@
     pub(crate) fn install(&self, journals: &[JournalId], book: Book, oldest: u64) {
         let mut programs = self.write_programs();
         for (id, program) in book.programs {
+            if program.state == State::Running {
+                self.shared.forecast.note_start(&program.start.profile);
+            }
             programs.insert(id, Arc::new(Resident::new(program, oldest)));
         }
         drop(programs);
@@ -257,6 +260,7 @@
             Some(key) => self.anchor(&request.customer, &key, reply).await?,
             None => reply,
         };
+        self.shared.forecast.note_start(&request.profile);
         self.shared.metrics.count("program_started");
         log::info!(
             "event=start program={} customer={} profile={} parent={} home={}",
@@ -447,8 +451,22 @@
         self.shared.is_draining() || self.journal.sealed_by().is_some()
     }
 
-    /// Reads a program.
-    pub(crate) fn read(
+    /// Reads a program. A home that was replaced and doesn't know it yet must
+    /// not show an old state, so the platform is asked; while it is out of
+    /// reach nobody can have replaced us.
+    pub(crate) async fn read(
+        &self,
+        program: &ProgramId,
+        customer: Option<&Name>,
+    ) -> Result<ProgramView, Failure> {
+        let view = self.view_of(program, customer)?;
+        match self.journal.verify().await {
+            Err(err @ JournalError::Sealed(_)) => Err(self.journal_failure(&err)),
+            _ => Ok(view),
+        }
+    }
+
+    fn view_of(
         &self,
         program: &ProgramId,
         customer: Option<&Name>,
@@ -551,6 +569,7 @@
         let busy_ms = program.turns.iter().map(|turn| turn.took_ms - turn.waited_ms).sum();
         let turns = program.turns.len();
         self.shared.forecast.note_program(&program.start.profile, turns, busy_ms);
+        self.shared.forecast.note_end(&program.start.profile);
         self.shared.metrics.count("program_ended");
         log::info!(
             "event=end program={} reason={reason:?} turns={turns} spent={} late={}",
--- a/crates/gg-daemon/src/question.rs
+++ b/crates/gg-daemon/src/question.rs
@@ -48,7 +48,7 @@
     type Reply = ProgramView;
 
     async fn at_home(&self, home: &Arc<Home>) -> Result<ProgramView, Failure> {
-        home.read(&self.program, self.customer.as_ref())
+        home.read(&self.program, self.customer.as_ref()).await
     }
 
     async fn at_peer(&self, client: &WsClient) -> Asked<ProgramView> {
--- a/crates/gg-daemon/src/step.rs
+++ b/crates/gg-daemon/src/step.rs
@@ -640,6 +640,7 @@
             }
             let submitted = self.home.journal.submit(&records);
             if submitted.is_ok() {
+                self.shared().forecast.note_turn(&program.start.profile);
                 program.apply_turn(&turn).map_err(|err| internal(&err))?;
                 if single {
                     program.state = State::Ended { reason: EndReason::Single, at_ms: now };
--- a/crates/gg-fakes/src/scenario.rs
+++ b/crates/gg-fakes/src/scenario.rs
@@ -101,6 +101,9 @@
 /// Time in which engines have to have been told of all ended programs.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time that each call to a service takes.
+const SERVICE_DELAY: Duration = Duration::from_millis(200);
+
 /// Tokens generated in each model turn.
 const GENERATE: u64 = 12;
 
@@ -119,6 +122,10 @@
         ..FleetSettings::default()
     };
     let fleet = Fleet::start(starter, settings).await;
+    for service in &fleet.services {
+        // Long enough for faults to meet calls that were sent.
+        service.set_delay(SERVICE_DELAY);
+    }
     let log = fleet.log.clone();
     let mut callers = JoinSet::new();
     for number in 0..plan.programs {
--- a/crates/gg-program/src/program.rs
+++ b/crates/gg-program/src/program.rs
@@ -224,6 +224,14 @@
         self.repeats = if again { self.repeats + 1 } else { 0 };
     }
 
+    /// Model of the last model call.
+    pub fn model(&self) -> Option<&str> {
+        self.turns.iter().rev().find_map(|turn| match &turn.answer {
+            Answer::Chat { model, .. } => Some(model.as_str()),
+            _ => None,
+        })
+    }
+
     /// Remembers that `upstream` may hold the program's prefix.
     pub fn note_upstream(&mut self, upstream: &Name) {
         self.upstreams.retain(|known| known != upstream);
