--- a/crates/gg-dispatch/src/lib.rs
+++ b/crates/gg-dispatch/src/lib.rs
@@ -1,5 +1,16 @@
 //! Decisions about replicas: which one a call goes to, how many calls one
 //! takes at a time, and whose turn it is.
+//!
+//! ```
+//! use gg_dispatch::RetryBudget;
+//!
+//! let mut budget = RetryBudget::new(0.5, 1.0);
+//! assert!(budget.spend());
+//! assert!(!budget.spend(), "retries are a share of successes");
+//! budget.earn();
+//! budget.earn();
+//! assert!(budget.spend());
+//! ```
 
 mod dispatcher;
 mod fairness;
--- a/crates/gg-journal/src/lib.rs
+++ b/crates/gg-journal/src/lib.rs
@@ -4,6 +4,25 @@
 //! writes the next number first decides what follows. A successor writes a
 //! seal there: from then on the former owner's appends fail, whatever clocks
 //! and lists of live instances say.
+//!
+//! ```
+//! use gg_fakes::MemoryStore;
+//! use gg_journal::{Journal, JournalSettings, seal};
+//! use tokio_util::sync::CancellationToken;
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> Result<(), gg_journal::JournalError> {
+//! let store = MemoryStore::new(1);
+//! let stop = CancellationToken::new();
+//! let settings = JournalSettings::default();
+//! let old = Journal::open(store.clone(), "a1", settings.clone(), stop.clone()).await?;
+//! let new = Journal::open(store.clone(), "a2", settings, stop).await?;
+//! old.append(&["kept"]).await?;
+//! seal(&store, old.id(), new.id()).await?;
+//! assert!(old.append(&["too late"]).await.is_err());
+//! # Ok(())
+//! # }
+//! ```
 
 mod error;
 mod journal;
