--- a/crates/gg-caller/src/chat.rs
+++ b/crates/gg-caller/src/chat.rs
@@ -7,10 +7,7 @@
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
-use crate::{
-    errors::{failure_body, failure_response},
-    request::ChatRequest,
-};
+use crate::{errors::failure_response, request::ChatRequest};
 
 /// Pieces of a streamed answer that wait for a slow caller.
 const PIECES_MAX: usize = 64;
@@ -165,8 +162,8 @@
             Some(StepEvent::Done { answer, .. }) => {
                 chunk.end(&answer, sent, first, request.include_usage)
             }
-            Some(StepEvent::Failed(failure)) => sse(&failure_body(&failure)),
-            None => sse(&failure_body(&broken_failure())),
+            Some(StepEvent::Failed(failure)) => sse(&failure.to_json()),
+            None => sse(&broken_failure().to_json()),
         };
         let last = !data.text;
         if pieces.send(data.bytes).await.is_err() || last {
@@ -215,8 +212,8 @@
     fn end(&self, answer: &Answer, sent: usize, first: bool, include_usage: bool) -> Piece {
         let Answer::Chat { text, finish, usage, .. } = answer else {
             return match answer {
-                Answer::Failed { failure } => sse(&failure_body(failure)),
-                _ => sse(&failure_body(&broken_failure())),
+                Answer::Failed { failure } => sse(&failure.to_json()),
+                _ => sse(&broken_failure().to_json()),
             };
         };
         let mut out = String::new();
--- a/crates/gg-caller/src/errors.rs
+++ b/crates/gg-caller/src/errors.rs
@@ -3,33 +3,15 @@
 use gg_http::{Body, HttpError, json_response};
 use gg_protocol::{Code, Failure};
 use http::{HeaderValue, Response, StatusCode, header};
-use serde_json::{Value, json};
 
 /// Header that repeats whether the action ran.
 pub(crate) const RAN_HEADER: &str = "x-gg-ran";
 
-/// The JSON body of a failure.
-pub(crate) fn failure_body(failure: &Failure) -> Value {
-    let mut error = json!({
-        "code": failure.code.as_str(),
-        "type": failure.code.as_str(),
-        "message": failure.message,
-        "ran": failure.ran.as_str(),
-    });
-    if !failure.help.is_empty() {
-        error["help"] = json!(failure.help);
-    }
-    if let Some(retry_ms) = failure.retry_ms {
-        error["retry_after"] = json!(retry_ms as f64 / 1000.0);
-    }
-    json!({ "error": error })
-}
-
 /// The answer that carries a failure.
 pub(crate) fn failure_response(failure: &Failure) -> Response<Body> {
     let status = StatusCode::from_u16(failure.code.status());
     let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let mut response = json_response(status, &failure_body(failure));
+    let mut response = json_response(status, &failure.to_json());
     let headers = response.headers_mut();
     headers.insert(RAN_HEADER, HeaderValue::from_static(failure.ran.as_str()));
     if let Some(retry_ms) = failure.retry_ms {
--- a/crates/gg-daemon/src/logs.rs
+++ b/crates/gg-daemon/src/logs.rs
@@ -21,7 +21,9 @@
         // Lines of libraries have no event; they are of use only as warnings.
         .level(LevelFilter::Error)
         .level_for("gg_daemon", level)
-        .level_for("gg_journal", level);
+        .level_for("gg_journal", level)
+        .level_for("gg_gateway", level)
+        .level_for("gg_ledger", level);
     let dispatch = match settings.file.is_empty() {
         true => dispatch.chain(io::stderr()),
         false => dispatch.chain(fern::log_file(&settings.file)?),
--- /dev/null
+++ b/crates/gg-gateway/src/call.rs
@@ -0,0 +1,156 @@
+//! A request whose answer is read whole before it is passed on.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gg_protocol::{Code, Failure};
+use gg_route::Deployment;
+use http::Response;
+use http_body_util::Full;
+use rand::Rng;
+use tokio::time::{self, Instant};
+
+use crate::{
+    answer::strip_hop_headers,
+    choice::{Candidate, ChoiceSettings, choose},
+    replica::{Place, Replica},
+    retry::{Next, Outcome, Tries},
+    send::{read_whole, send},
+    state::State,
+    walk::Job,
+};
+
+/// Gateways that are believed to share each replica's connections.
+const GATEWAYS: u32 = 8;
+
+/// Fewest requests of ours that a replica may have.
+const LOAD_MIN: u32 = 3;
+
+/// Share of the time left that a request may wait for a place.
+const WAIT_SHARE: f64 = 0.3;
+
+/// When a refused client should come back, in ms, at least; up to twice as
+/// much is added at random so that they don't come back together.
+const RETRY_MS: u64 = 150;
+
+/// Random part of a replica's cost, in ms, so that equal ones share.
+const DRAW_MS: f64 = 2.0;
+
+/// Calls a replica and reads its whole answer.
+pub(crate) async fn run<D: Deployment>(
+    state: &State<D>,
+    job: &Arc<Job>,
+) -> Result<Response<Full<Bytes>>, Failure> {
+    let mut tries = job.tries();
+    let mut tried = Vec::new();
+    loop {
+        let place = place(state, job, &tried, &tries, None).await?;
+        tried.push(place.replica.upstream.id.clone());
+        let replica = place.replica.clone();
+        let began = Instant::now();
+        let outcome = match send(state, job, &job.body, place).await {
+            Err(outcome) => outcome,
+            Ok(sent) => {
+                let status = sent.response.status();
+                match read_whole(sent, job.deadline).await {
+                    Err(outcome) => outcome,
+                    Ok((mut headers, body, lease)) => {
+                        replica.note_delay(began.elapsed().as_secs_f64() * 1e3);
+                        lease.keep(&headers);
+                        strip_hop_headers(&mut headers);
+                        let mut response = Response::new(Full::new(body));
+                        *response.status_mut() = status;
+                        *response.headers_mut() = headers;
+                        return Ok(response);
+                    }
+                }
+            }
+        };
+        next(job, &mut tries, outcome)?;
+    }
+}
+
+/// Goes on with another replica, or tells why not.
+pub(crate) fn next(job: &Job, tries: &mut Tries, outcome: Outcome) -> Result<(), Failure> {
+    let is_late = Instant::now() >= job.deadline;
+    match tries.note(outcome, is_late) {
+        Next::Retry => Ok(()),
+        Next::Refuse => Err(refusal("no replica took the request")),
+        Next::GiveUp if is_late => {
+            Err(Failure::unknown(Code::DeadlineExceeded, "no answer in the time that was left"))
+        }
+        Next::GiveUp => Err(Failure::unknown(Code::UpstreamFailed, "the replica broke off")),
+    }
+}
+
+/// A request that has not run and never will.
+pub(crate) fn refusal(message: &str) -> Failure {
+    let retry_ms = rand::rng().random_range(RETRY_MS..3 * RETRY_MS);
+    Failure::not_run(Code::HomeUnavailable, message).retry_in(retry_ms)
+}
+
+/// Takes a place on the best replica that was not tried yet; waits for one
+/// if all are full. `previous` ran the turn before.
+pub(crate) async fn place<D: Deployment>(
+    state: &State<D>,
+    job: &Job,
+    tried: &[gg_route::UpstreamId],
+    tries: &Tries,
+    previous: Option<&str>,
+) -> Result<Place, Failure> {
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    let limit = Instant::now() + left.mul_f64(WAIT_SHARE);
+    let give_up = |message| match tries.end() {
+        Next::GiveUp => Failure::unknown(Code::UpstreamFailed, message),
+        _ => refusal(message),
+    };
+    loop {
+        let Some(service) = state.fleet.service(&job.service.name) else {
+            return Err(give_up("no replica of the service is known"));
+        };
+        let freed = service.freed.clone();
+        let notified = freed.notified();
+        let open: Vec<_> = service
+            .replicas
+            .iter()
+            .filter(|replica| replica.is_open() && !tried.contains(&replica.upstream.id))
+            .collect();
+        if open.is_empty() {
+            return Err(give_up("no replica is left to try"));
+        }
+        if let Some(replica) = best(state, job, &open, previous) {
+            return Ok(replica.occupy());
+        }
+        if time::timeout_at(limit, notified).await.is_err() {
+            return Err(give_up("all replicas are full"));
+        }
+    }
+}
+
+fn best<'a, D>(
+    state: &State<D>,
+    job: &Job,
+    open: &[&'a Arc<Replica>],
+    previous: Option<&str>,
+) -> Option<&'a Arc<Replica>> {
+    let is_model = job.service.event_tokens > 0;
+    let load_max = (job.service.connections / GATEWAYS).max(LOAD_MIN);
+    let fastest = open.iter().map(|replica| replica.delay_ms()).fold(f64::INFINITY, f64::min);
+    let candidates: Vec<Candidate> = open
+        .iter()
+        .map(|replica| Candidate {
+            load: replica.load(),
+            load_max,
+            is_far: replica.upstream.centre != state.centre,
+            is_warm: match &job.envelope.shared_prefix {
+                Some(prefix) if is_model => replica.is_warm(prefix),
+                _ => true,
+            },
+            is_previous: !is_model || previous == Some(&*replica.upstream.id.name),
+            is_suspect: replica.is_suspect(),
+            delay_ms: (replica.delay_ms() - fastest).max(0.0),
+        })
+        .collect();
+    let draw = || rand::rng().random_range(0.0..DRAW_MS);
+    choose(&candidates, &ChoiceSettings::default(), draw).map(|index| open[index])
+}
--- /dev/null
+++ b/crates/gg-gateway/src/choice.rs
@@ -0,0 +1,73 @@
+//! Which replica a request goes to.
+
+/// Costs that the choice weighs, in milliseconds of a request's time.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceSettings {
+    /// One more request of ours on the replica: the others share its steps,
+    /// and other gateways are believed to send it as much as we do.
+    pub load_ms: f64,
+    /// Way to another data centre and back.
+    pub far_ms: f64,
+    /// Reading the shared beginning of a prompt that the replica has not
+    /// read yet.
+    pub cold_ms: f64,
+    /// Reading the rest of a chain that another replica ran before.
+    pub moved_ms: f64,
+}
+
+impl Default for ChoiceSettings {
+    fn default() -> Self {
+        ChoiceSettings { load_ms: 25.0, far_ms: 3.0, cold_ms: 50.0, moved_ms: 12.0 }
+    }
+}
+
+/// A replica that could take the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Candidate {
+    /// Requests of ours that it works on or queues.
+    pub load: u32,
+    /// Most requests of ours that it may have.
+    pub load_max: u32,
+    /// It stands in another data centre.
+    pub is_far: bool,
+    /// It has read the shared beginning of the prompt.
+    pub is_warm: bool,
+    /// It ran the turn before.
+    pub is_previous: bool,
+    /// It failed or refused lately; only taken if no other is there.
+    pub is_suspect: bool,
+    /// Time that it takes beyond what others do, in ms.
+    pub delay_ms: f64,
+}
+
+/// Index of the candidate with the least expected time; `draws` are random
+/// and break ties. `None` if all are full.
+pub fn choose(
+    candidates: &[Candidate],
+    settings: &ChoiceSettings,
+    mut draw: impl FnMut() -> f64,
+) -> Option<usize> {
+    let open =
+        candidates.iter().enumerate().filter(|(_, candidate)| candidate.load < candidate.load_max);
+    let costs = open.map(|(index, candidate)| {
+        (index, candidate.is_suspect, candidate.cost_ms(settings) + draw())
+    });
+    let best = costs.min_by(|a, b| a.1.cmp(&b.1).then(a.2.total_cmp(&b.2)));
+    best.map(|(index, _, _)| index)
+}
+
+impl Candidate {
+    fn cost_ms(&self, settings: &ChoiceSettings) -> f64 {
+        let mut cost = self.delay_ms + f64::from(self.load) * settings.load_ms;
+        if self.is_far {
+            cost += settings.far_ms;
+        }
+        if !self.is_previous {
+            cost += settings.moved_ms;
+            if !self.is_warm {
+                cost += settings.cold_ms;
+            }
+        }
+        cost
+    }
+}
--- /dev/null
+++ b/crates/gg-gateway/src/fleet.rs
@@ -0,0 +1,141 @@
+//! All replicas that the directory names, by service.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use gg_protocol::Name;
+use gg_route::{Upstream, UpstreamState};
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+
+use crate::{replica::Replica, state::lock};
+
+/// Entries that lapsed while the directory was away are back within this
+/// time after its return; until then they stay usable.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// Replicas by service.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    services: HashMap<Name, Service>,
+    replicas: IndexMap<Name, Arc<Replica>>,
+    /// Replicas that are missing since the directory's return.
+    missing: HashMap<Name, Instant>,
+    /// Last time at which the directory did not answer.
+    lost: Option<Instant>,
+}
+
+/// Replicas of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Service {
+    pub(crate) replicas: Vec<Arc<Replica>>,
+    pub(crate) freed: Arc<Notify>,
+}
+
+impl Fleet {
+    /// Takes in all replicas; others are gone.
+    pub fn replace(&self, upstreams: Vec<Upstream>) {
+        let mut state = lock(&self.state);
+        let present: Vec<Name> =
+            upstreams.iter().map(|upstream| upstream.id.name.clone()).collect();
+        upstreams.into_iter().for_each(|upstream| state.put(upstream));
+        let gone: Vec<Name> =
+            state.replicas.keys().filter(|name| !present.contains(name)).cloned().collect();
+        gone.iter().for_each(|name| state.remove(name));
+    }
+
+    /// Takes in one replica.
+    pub fn put(&self, upstream: Upstream) {
+        lock(&self.state).put(upstream);
+    }
+
+    /// A replica's entry is gone.
+    pub fn remove(&self, name: &str) {
+        lock(&self.state).remove(name);
+    }
+
+    /// The directory does not answer.
+    pub fn note_lost(&self) {
+        lock(&self.state).lost = Some(Instant::now());
+    }
+
+    /// Drops the replicas whose entries did not come back.
+    pub fn sweep(&self) {
+        let mut state = lock(&self.state);
+        let due = state.missing.iter().filter(|(_, since)| since.elapsed() >= LAPSE_GRACE);
+        let due: Vec<Name> = due.map(|(name, _)| name.clone()).collect();
+        due.iter().for_each(|name| state.drop_now(name));
+    }
+
+    /// The replicas of a service.
+    pub(crate) fn service(&self, name: &str) -> Option<Service> {
+        lock(&self.state).services.get(name).cloned()
+    }
+
+    /// Whether any replica takes work.
+    pub fn is_usable(&self) -> bool {
+        lock(&self.state).replicas.values().any(|replica| replica.is_open())
+    }
+}
+
+impl State {
+    fn put(&mut self, upstream: Upstream) {
+        let name = upstream.id.name.clone();
+        self.missing.remove(&name);
+        if let Some(known) = self.replicas.get(&name) {
+            let same = known.upstream.id == upstream.id
+                && known.upstream.address == upstream.address
+                && known.upstream.service == upstream.service;
+            if same {
+                if upstream.state == UpstreamState::Draining && known.is_open() {
+                    log::info!("event=replica_draining replica={name}");
+                    known.set_leaving();
+                }
+                return;
+            }
+            self.drop_now(&name);
+        }
+        log::info!(
+            "event=replica_listed replica={name} address={} centre={} state={:?}",
+            upstream.address,
+            upstream.centre,
+            upstream.state
+        );
+        let service = self.services.entry(upstream.service.clone()).or_default();
+        let replica = Arc::new(Replica::new(upstream, service.freed.clone()));
+        service.replicas.push(replica.clone());
+        service.freed.notify_waiters();
+        self.replicas.insert(name, replica);
+    }
+
+    fn remove(&mut self, name: &str) {
+        let lapsed = self.lost.is_some_and(|at| at.elapsed() < LAPSE_GRACE);
+        match self.replicas.get_key_value(name) {
+            None => {}
+            Some((name, _)) if lapsed => {
+                log::info!("event=replica_missing replica={name}");
+                let name = name.clone();
+                self.missing.entry(name).or_insert_with(Instant::now);
+            }
+            Some(_) => self.drop_now(name),
+        }
+    }
+
+    fn drop_now(&mut self, name: &str) {
+        self.missing.remove(name);
+        let Some(replica) = self.replicas.shift_remove(name) else { return };
+        log::info!("event=replica_gone replica={name}");
+        replica.set_leaving();
+        if let Some(service) = self.services.get_mut(&replica.upstream.service) {
+            service.replicas.retain(|known| !Arc::ptr_eq(known, &replica));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gg-gateway/src/ingress.rs
@@ -0,0 +1,57 @@
+//! Listeners of a gateway: clients, and the platform's readiness check.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gg_http::Limits;
+use gg_route::{ClientLimits, Deployment};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::{state::State, walk};
+
+/// Connections are kept this many times longer than clients may leave them
+/// idle, so that a change of that time cuts none that is still of use.
+const IDLE_FACTOR: u32 = 2;
+
+/// Serves clients until `stop` is cancelled; then ends idle connections and
+/// finishes what is under way.
+pub(crate) async fn serve_clients<D: Deployment>(
+    listener: TcpListener,
+    state: Arc<State<D>>,
+    base: Limits,
+    stop: CancellationToken,
+) {
+    let limits = {
+        let state = state.clone();
+        move || {
+            let limits = state.table().map_or_else(ClientLimits::default, |table| table.limits);
+            Limits {
+                head_timeout: limits.idle_timeout * IDLE_FACTOR,
+                head_bytes: Some(limits.head_bytes),
+                ..base
+            }
+        }
+    };
+    let handler = move |request: Request<Incoming>| walk::answer(state.clone(), request);
+    gg_http::serve_with(listener, base.connections, limits, stop, handler).await;
+}
+
+/// Answers the platform's readiness check.
+pub(crate) async fn serve_ready<D: Deployment>(
+    listener: TcpListener,
+    state: Arc<State<D>>,
+    stop: CancellationToken,
+) {
+    let handler = move |_request: Request<Incoming>| {
+        let mut response = Response::new(Full::new(Bytes::new()));
+        if !state.is_ready() {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        async move { response }
+    };
+    gg_http::serve(listener, Limits::default(), stop, handler).await;
+}
--- /dev/null
+++ b/crates/gg-gateway/src/instance.rs
@@ -0,0 +1,141 @@
+//! Start, run and planned stop of a gateway or ledger instance.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use gg_http::Limits;
+use gg_ledger::{Keeper, KeeperSettings, Ledger, Member, Node, NodeError, NodeSettings};
+use gg_route::Deployment;
+use gg_settings::{GatewaySettings, LedgerSettings};
+use quick_error::quick_error;
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    signal::unix::{SignalKind, signal},
+    time,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{discovery, ingress, state::State};
+
+quick_error! {
+    /// Why an instance could not run.
+    #[derive(Debug)]
+    pub enum GatewayError {
+        /// An address can't be listened on.
+        Listen(address: SocketAddr, err: io::Error) {
+            display("can't listen on {address}: {err}")
+        }
+        /// Signals can't be received.
+        Signals(err: io::Error) {
+            from()
+            display("signals can't be received: {err}")
+        }
+        /// The ledger can't run.
+        Ledger(err: NodeError) {
+            from()
+            display("{err}")
+        }
+    }
+}
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Time after SIGTERM in which the platform may still send new connections:
+/// it asks once a second and needs two misses.
+const NOT_READY_TIME: Duration = Duration::from_millis(2_600);
+
+/// Time kept free between the last answer and the end of the grace period.
+const STOP_MARGIN: Duration = Duration::from_millis(600);
+
+/// Runs a gateway until SIGTERM or SIGINT; then stops it in order.
+pub async fn run_gateway<D: Deployment>(
+    settings: GatewaySettings,
+    deployment: D,
+) -> Result<(), GatewayError> {
+    let clients = listen(settings.clients)?;
+    let ready = listen(settings.ready)?;
+    let stop = CancellationToken::new();
+    let ledger = Ledger::new(settings.centre.clone(), stop.child_token());
+    let state = Arc::new(State::new(deployment, settings.centre.clone(), ledger));
+    tokio::spawn(discovery::run(state.clone(), stop.child_token()));
+    tokio::spawn(ingress::serve_ready(ready, state.clone(), stop.child_token()));
+    let closed = CancellationToken::new();
+    let base = Limits {
+        connections: settings.connections,
+        stop_timeout: settings.grace.saturating_sub(NOT_READY_TIME + STOP_MARGIN),
+        ..Limits::default()
+    };
+    let serving =
+        tokio::spawn(ingress::serve_clients(clients, state.clone(), base, closed.clone()));
+    log::info!("event=started role=gateway clients={}", settings.clients);
+    wait_for_stop().await?;
+    log::info!("event=stopping");
+    state.stop();
+    time::sleep(NOT_READY_TIME).await;
+    closed.cancel();
+    if let Err(err) = serving.await {
+        log::error!("event=listener_failed error={err}");
+    }
+    stop.cancel();
+    log::info!("event=stopped");
+    Ok(())
+}
+
+/// Runs a ledger instance until SIGTERM or SIGINT.
+pub async fn run_ledger<D: Deployment>(
+    settings: LedgerSettings,
+    deployment: D,
+) -> Result<(), GatewayError> {
+    let stop = CancellationToken::new();
+    let node = NodeSettings {
+        listen: settings.listen,
+        folder: settings.folder.clone(),
+        checkpoint_bytes: settings.checkpoint_bytes,
+    };
+    let node = Node::start(node, stop.clone()).await?;
+    let member = Member {
+        instance: settings.instance.clone(),
+        disk: node.disk(),
+        address: settings.listen,
+        centre: settings.centre.clone(),
+    };
+    let keeper = KeeperSettings {
+        member,
+        tolerated: settings.tolerated,
+        is_founding: settings.is_founding,
+        lost_after: settings.lost_after,
+    };
+    tokio::spawn(Keeper::new(keeper, deployment, node).run(stop.child_token()));
+    log::info!("event=started role=ledger listen={}", settings.listen);
+    tokio::select! {
+        result = wait_for_stop() => result?,
+        () = stop.cancelled() => log::error!("event=ledger_failed"),
+    }
+    stop.cancel();
+    log::info!("event=stopped");
+    Ok(())
+}
+
+/// Waits for SIGTERM or SIGINT. SIGHUP is taken note of.
+async fn wait_for_stop() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => log::info!("event=reload result=settings_apply_at_start"),
+        }
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    let bind = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bind().map_err(|err| GatewayError::Listen(address, err))
+}
--- /dev/null
+++ b/crates/gg-gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! The gateway: takes clients' requests, finds their route, places them on a
+//! replica and passes the answers back, with the turns of programs kept in
+//! the ledger.
+//!
+//! A request's walk stands in `walk.rs`; each step has a module of its own.
+
+mod answer;
+mod call;
+mod choice;
+mod discovery;
+mod fleet;
+mod ingress;
+mod instance;
+mod pool;
+mod relay;
+mod replica;
+mod retry;
+mod send;
+mod state;
+mod stream;
+mod walk;
+
+pub use choice::{Candidate, ChoiceSettings, choose};
+pub use fleet::Fleet;
+pub use instance::{GatewayError, run_gateway, run_ledger};
+pub use retry::{Next, Outcome, Tries};
--- /dev/null
+++ b/crates/gg-gateway/src/pool.rs
@@ -0,0 +1,129 @@
+//! Kept connections to one replica.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, header};
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpStream, time};
+
+use crate::state::lock;
+
+/// Longest wait for a connection; replicas are a few ms away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Idle time after which a connection is not used again, if the replica
+/// doesn't say how long it keeps one.
+const IDLE_DEFAULT: Duration = Duration::from_secs(2);
+
+/// A connection is given up this long before the replica would close it.
+const IDLE_MARGIN: Duration = Duration::from_millis(800);
+
+/// Time without traffic after which a connection is probed.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered probes after which a connection counts as broken.
+const PROBES: u32 = 2;
+
+/// Read buffer of a connection, in bytes. Answers are small; hyper grows it
+/// to at most this.
+const BUFFER_BYTES: usize = 16 << 10;
+
+/// A connection that can take a request.
+pub(crate) type Connection = SendRequest<Full<Bytes>>;
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Connections to one replica.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    address: SocketAddr,
+    idle: Mutex<Vec<Idle>>,
+    open: Arc<AtomicU32>,
+}
+
+impl Pool {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Pool { address, idle: Mutex::default(), open: Arc::default() }
+    }
+
+    /// A kept connection, most recently used first.
+    pub(crate) fn kept(&self) -> Option<Connection> {
+        let mut idle = lock(&self.idle);
+        let now = Instant::now();
+        idle.retain(|idle| idle.until > now && !idle.connection.is_closed());
+        let index = idle.iter().rposition(|idle| idle.connection.is_ready())?;
+        Some(idle.remove(index).connection)
+    }
+
+    /// A new connection.
+    pub(crate) async fn connect(&self) -> io::Result<Connection> {
+        let socket = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await??;
+        prepare(&socket)?;
+        let (connection, driver) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(socket))
+            .await
+            .map_err(io::Error::other)?;
+        let open = self.open.clone();
+        open.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            if let Err(err) = driver.await {
+                log::debug!("event=replica_connection_ended error={err}");
+            }
+            open.fetch_sub(1, Ordering::Relaxed);
+        });
+        Ok(connection)
+    }
+
+    /// Keeps a connection whose answer was read whole.
+    pub(crate) fn keep(&self, connection: Connection, headers: &HeaderMap) {
+        let Some(idle) = idle_time(headers) else { return };
+        lock(&self.idle).push(Idle { connection, until: Instant::now() + idle });
+    }
+
+    /// Closes what is idle.
+    pub(crate) fn clear(&self) {
+        lock(&self.idle).clear();
+    }
+}
+
+fn prepare(socket: &TcpStream) -> io::Result<()> {
+    socket.set_nodelay(true)?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    let socket = SockRef::from(socket);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(PROBE_INTERVAL * (PROBES + 1)))
+}
+
+/// Time for which the replica keeps the connection, a margin taken off;
+/// `None` if it is about to close it.
+fn idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name| headers.get(name).and_then(|value: &http::HeaderValue| value.to_str().ok());
+    if text(header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+        return None;
+    }
+    let timeout = text(header::HeaderName::from_static("keep-alive"))
+        .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+        .and_then(|seconds| seconds.trim().parse::<f64>().ok())
+        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    Some(timeout.map_or(IDLE_DEFAULT, |timeout| timeout.saturating_sub(IDLE_MARGIN)))
+}
--- /dev/null
+++ b/crates/gg-gateway/src/relay.rs
@@ -0,0 +1,222 @@
+//! Passes a replica's events on as they come, and ends the client's stream
+//! only when the turn is on enough disks.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use futures::{Stream, stream};
+use gg_ledger::TurnRecord;
+use gg_protocol::Name;
+use gg_route::Deployment;
+use http::HeaderMap;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
+use quick_error::quick_error;
+use tokio::time::{self, Instant};
+
+use crate::{send::Lease, state::State, walk::Job};
+
+/// Others go first for this long after a replica broke a stream off.
+const FAILED_TIME: Duration = Duration::from_millis(1_000);
+
+quick_error! {
+    /// Why a client's stream is cut off. The connection then ends without
+    /// the end of the answer, so that it never looks whole.
+    #[derive(Debug)]
+    pub enum RelayError {
+        /// The replica broke off.
+        Replica(err: hyper::Error) {
+            display("the replica broke off: {err}")
+        }
+        /// The deadline passed.
+        Late {
+            display("the deadline passed")
+        }
+        /// The turn could not be kept.
+        Unkept(err: gg_ledger::LedgerError) {
+            display("the turn could not be kept: {err}")
+        }
+    }
+}
+
+/// Settles what a turn spent when it ends, however it does.
+pub(crate) struct Settle<D: Deployment> {
+    state: Arc<State<D>>,
+    job: Arc<Job>,
+    /// Events handed to the client.
+    events: u32,
+    is_settled: bool,
+}
+
+impl<D: Deployment> Settle<D> {
+    pub(crate) fn new(state: Arc<State<D>>, job: Arc<Job>) -> Self {
+        let is_settled = job.route.retention.is_none();
+        Settle { state, job, events: 0, is_settled }
+    }
+
+    /// Program and tokens handed to the client.
+    fn spent(&self) -> Option<gg_ledger::Settlement> {
+        let program = self.job.envelope.turn.program.clone()?;
+        Some((program, self.events * self.job.service.event_tokens))
+    }
+}
+
+impl<D: Deployment> Drop for Settle<D> {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.state.ledger.settle(self.job.id(), self.spent());
+        }
+    }
+}
+
+/// A stream on its way through.
+pub(crate) struct Relay<D: Deployment> {
+    settle: Settle<D>,
+    events: Incoming,
+    lease: Option<Lease>,
+    headers: HeaderMap,
+    upstream: Name,
+    /// All bytes passed on, on routes that keep turns.
+    passed: BytesMut,
+    began: Instant,
+    is_begun: bool,
+    is_over: bool,
+}
+
+impl<D: Deployment> Relay<D> {
+    pub(crate) fn new(
+        settle: Settle<D>,
+        events: Incoming,
+        lease: Lease,
+        headers: HeaderMap,
+        began: Instant,
+    ) -> Self {
+        Relay {
+            settle,
+            events,
+            upstream: lease.replica().upstream.id.name.clone(),
+            lease: Some(lease),
+            headers,
+            passed: BytesMut::new(),
+            began,
+            is_begun: false,
+            is_over: false,
+        }
+    }
+
+    /// The next piece; `None` once the turn is kept.
+    async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
+        loop {
+            let deadline = self.settle.job.deadline;
+            let frame = time::timeout_at(deadline, self.events.frame()).await;
+            match frame.map_err(|_| RelayError::Late)? {
+                None => break,
+                Some(Err(err)) => return Err(RelayError::Replica(err)),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.note(&data);
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+        if let Some(lease) = self.lease.take() {
+            lease.keep(&self.headers);
+        }
+        self.keep().await?;
+        Ok(None)
+    }
+
+    fn note(&mut self, data: &Bytes) {
+        if !self.is_begun {
+            self.is_begun = true;
+            if let Some(lease) = &self.lease {
+                let replica = lease.replica();
+                replica.note_delay(self.began.elapsed().as_secs_f64() * 1e3);
+                if let Some(prefix) = &self.settle.job.envelope.shared_prefix {
+                    replica.set_warm(prefix);
+                }
+            }
+        }
+        self.passed.extend_from_slice(data);
+        self.settle.events = count_events(&self.passed);
+    }
+
+    /// Has the turn kept; it counts from then on.
+    async fn keep(&mut self) -> Result<(), RelayError> {
+        let job = self.settle.job.clone();
+        let Some(retention) = job.route.retention else { return Ok(()) };
+        let record = TurnRecord {
+            turn: job.id().clone(),
+            previous: job.envelope.turn.previous.clone(),
+            text: turn_text(&job.body, &self.passed),
+            upstream: self.upstream.clone(),
+            keep_ms: u32::try_from(retention.0.as_millis()).unwrap_or(u32::MAX),
+        };
+        let spent = self.settle.spent();
+        let kept = self.settle.state.ledger.close(job.id(), spent, record).await;
+        kept.map_err(RelayError::Unkept)?;
+        self.settle.is_settled = true;
+        Ok(())
+    }
+
+    fn log_end(&self, error: Option<&RelayError>) {
+        let job = &self.settle.job;
+        let (id, events, ms) = (job.id(), self.settle.events, job.began.elapsed().as_millis());
+        match error {
+            None => log::info!("event=streamed request={id} events={events} ms={ms}"),
+            Some(err) => {
+                if let (Some(lease), RelayError::Replica(_)) = (&self.lease, err) {
+                    lease.replica().suspect(FAILED_TIME);
+                }
+                log::warn!(
+                    "event=stream_cut request={id} replica={} events={events} ms={ms} reason={err}",
+                    self.upstream
+                );
+            }
+        }
+    }
+}
+
+/// The stream that the client's answer is made of.
+pub(crate) fn relay<D: Deployment>(
+    relay: Relay<D>,
+) -> impl Stream<Item = Result<Frame<Bytes>, RelayError>> + Send + use<D> {
+    stream::unfold(relay, async |mut relay| {
+        if relay.is_over {
+            return None;
+        }
+        let piece = match relay.next().await {
+            Ok(Some(data)) => Ok(Frame::data(data)),
+            Ok(None) => {
+                relay.log_end(None);
+                return None;
+            }
+            Err(err) => {
+                relay.log_end(Some(&err));
+                relay.is_over = true;
+                Err(err)
+            }
+        };
+        Some((piece, relay))
+    })
+}
+
+/// Whole events in a stream's bytes.
+fn count_events(bytes: &[u8]) -> u32 {
+    bytes.windows(2).filter(|pair| pair == b"\n\n").count() as u32
+}
+
+/// What a turn adds to the chain: its input, then the data of each event and
+/// a line feed.
+fn turn_text(input: &Bytes, events: &[u8]) -> Bytes {
+    let mut text = BytesMut::with_capacity(input.len() + events.len());
+    text.extend_from_slice(input);
+    for line in events.split(|byte| *byte == b'\n') {
+        if let Some(data) = line.strip_prefix(b"data:") {
+            text.extend_from_slice(data.strip_prefix(b" ").unwrap_or(data));
+            text.extend_from_slice(b"\n");
+        }
+    }
+    text.freeze()
+}
--- /dev/null
+++ b/crates/gg-gateway/src/replica.rs
@@ -0,0 +1,129 @@
+//! One replica as this gateway knows it.
+
+use std::{
+    collections::HashSet,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use gg_protocol::Name;
+use gg_route::{Upstream, UpstreamState};
+use tokio::sync::Notify;
+
+use crate::{pool::Pool, state::lock};
+
+/// Weight of the newest observation in a replica's mean delay.
+const DELAY_WEIGHT: f64 = 0.2;
+
+/// A replica's mean delay counts half after this time without another
+/// observation, so that one that was slow gets tried again.
+const DELAY_HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// A replica of one service.
+#[derive(Debug)]
+pub(crate) struct Replica {
+    pub(crate) upstream: Upstream,
+    pub(crate) pool: Pool,
+    load: AtomicU32,
+    leaving: AtomicBool,
+    belief: Mutex<Belief>,
+    /// Told when a request leaves a replica of the service.
+    freed: Arc<Notify>,
+}
+
+/// What was seen of a replica.
+#[derive(Debug, Default)]
+struct Belief {
+    suspect_until: Option<Instant>,
+    /// Shared beginnings of prompts that it has read.
+    warm: HashSet<Name>,
+    delay: Option<(f64, Instant)>,
+}
+
+impl Replica {
+    pub(crate) fn new(upstream: Upstream, freed: Arc<Notify>) -> Self {
+        Replica {
+            pool: Pool::new(upstream.address),
+            load: AtomicU32::new(0),
+            leaving: AtomicBool::new(upstream.state == UpstreamState::Draining),
+            belief: Mutex::default(),
+            freed,
+            upstream,
+        }
+    }
+
+    /// Requests of ours that it has.
+    pub(crate) fn load(&self) -> u32 {
+        self.load.load(Ordering::Relaxed)
+    }
+
+    /// Whether it takes new work.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// It gets no new work from here on.
+    pub(crate) fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.pool.clear();
+    }
+
+    /// Whether it failed or refused lately.
+    pub(crate) fn is_suspect(&self) -> bool {
+        lock(&self.belief).suspect_until.is_some_and(|until| until > Instant::now())
+    }
+
+    /// It failed or refused; others go first for `time`.
+    pub(crate) fn suspect(&self, time: Duration) {
+        lock(&self.belief).suspect_until = Some(Instant::now() + time);
+    }
+
+    /// Whether it has read the shared beginning of a prompt.
+    pub(crate) fn is_warm(&self, prefix: &str) -> bool {
+        lock(&self.belief).warm.contains(prefix)
+    }
+
+    /// It has read the shared beginning of a prompt.
+    pub(crate) fn set_warm(&self, prefix: &Name) {
+        let mut belief = lock(&self.belief);
+        if !belief.warm.contains(prefix) {
+            belief.warm.insert(prefix.clone());
+        }
+    }
+
+    /// Takes in the time that it took for a first byte.
+    pub(crate) fn note_delay(&self, ms: f64) {
+        let now = Instant::now();
+        let mut belief = lock(&self.belief);
+        let mean = belief.delay.map_or(ms, |(mean, _)| mean + DELAY_WEIGHT * (ms - mean));
+        belief.delay = Some((mean, now));
+    }
+
+    /// Mean time to a first byte, in ms, fading with its age.
+    pub(crate) fn delay_ms(&self) -> f64 {
+        let Some((mean, at)) = lock(&self.belief).delay else { return 0.0 };
+        mean * 0.5_f64.powf(at.elapsed().as_secs_f64() / DELAY_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Takes a place on the replica until the result is dropped.
+    pub(crate) fn occupy(self: &Arc<Self>) -> Place {
+        self.load.fetch_add(1, Ordering::Relaxed);
+        Place { replica: self.clone() }
+    }
+}
+
+/// A place on a replica.
+#[derive(Debug)]
+pub(crate) struct Place {
+    pub(crate) replica: Arc<Replica>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.replica.load.fetch_sub(1, Ordering::Relaxed);
+        self.replica.freed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/gg-gateway/src/state.rs
@@ -0,0 +1,78 @@
+//! What the parts of a gateway share.
+
+use std::sync::{
+    Arc, Mutex, MutexGuard, RwLock,
+    atomic::{AtomicBool, Ordering},
+};
+
+use gg_ledger::Ledger;
+use gg_protocol::Name;
+use gg_route::{Configuration, RouteTable};
+
+use crate::Fleet;
+
+/// State of one gateway. `D` translates heads.
+#[derive(Debug)]
+pub(crate) struct State<D> {
+    pub(crate) dialect: D,
+    pub(crate) centre: Name,
+    pub(crate) fleet: Fleet,
+    pub(crate) ledger: Ledger,
+    table: RwLock<Option<Arc<RouteTable>>>,
+    is_stopping: AtomicBool,
+}
+
+impl<D> State<D> {
+    pub(crate) fn new(dialect: D, centre: Name, ledger: Ledger) -> Self {
+        State {
+            dialect,
+            centre,
+            ledger,
+            fleet: Fleet::default(),
+            table: RwLock::default(),
+            is_stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// The configuration in force, if one is known.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
+    }
+
+    /// Puts a configuration in force unless a newer one already is.
+    pub(crate) fn configure(&self, configuration: Configuration) {
+        let version = configuration.version;
+        let routes = configuration.routes.len();
+        let new = Arc::new(RouteTable::new(configuration));
+        let mut table = self.table.write().unwrap_or_else(|poisoned| poisoned.into_inner());
+        match table.as_ref() {
+            Some(known) if known.version >= version => {
+                log::debug!("event=configuration_old version={version} known={}", known.version);
+            }
+            _ => {
+                *table = Some(new);
+                log::info!("event=configured version={version} routes={routes}");
+            }
+        }
+    }
+
+    /// Whether new connections should come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.table().is_some() && self.fleet.is_usable()
+    }
+
+    /// Whether a planned stop is under way.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub(crate) fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Locks a mutex; state behind it stays usable after a panic elsewhere.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/crates/gg-gateway/src/stream.rs
@@ -0,0 +1,113 @@
+//! A request whose answer is a stream of events: a turn of a program, on
+//! routes that keep turns.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use futures::Stream;
+use gg_ledger::{LedgerError, OpenRequest, Opened};
+use gg_protocol::{Code, Failure, Name};
+use gg_route::Deployment;
+use http::{Response, StatusCode};
+use http_body_util::{Either, Full, StreamBody};
+use hyper::body::Frame;
+use tokio::time::Instant;
+
+use crate::{
+    answer::strip_hop_headers,
+    call::{next, place, refusal},
+    relay::{Relay, RelayError, Settle, relay},
+    send::{read_whole, send},
+    state::State,
+    walk::{Answer, Job},
+};
+
+/// Runs a turn and streams its events.
+pub(crate) async fn run<D: Deployment>(
+    state: &Arc<State<D>>,
+    job: &Arc<Job>,
+) -> Result<Answer<impl Stream<Item = Result<Frame<Bytes>, RelayError>> + Send + use<D>>, Failure> {
+    let opened = open(state, job).await?;
+    // Settles what was set aside however the turn ends.
+    let settle = Settle::new(state.clone(), job.clone());
+    let body = prompt(&opened, &job.body);
+    let mut tries = job.tries();
+    let mut tried = Vec::new();
+    loop {
+        let place = place(state, job, &tried, &tries, opened.upstream.as_deref()).await?;
+        tried.push(place.replica.upstream.id.clone());
+        let began = Instant::now();
+        let sent = match send(state, job, &body, place).await {
+            Ok(sent) => sent,
+            Err(outcome) => {
+                next(job, &mut tries, outcome)?;
+                continue;
+            }
+        };
+        let status = sent.response.status();
+        if status != StatusCode::OK {
+            match read_whole(sent, job.deadline).await {
+                Ok((mut headers, body, lease)) => {
+                    lease.keep(&headers);
+                    strip_hop_headers(&mut headers);
+                    let mut response = Response::new(Either::Left(Full::new(body)));
+                    *response.status_mut() = status;
+                    *response.headers_mut() = headers;
+                    return Ok(response);
+                }
+                Err(outcome) => {
+                    next(job, &mut tries, outcome)?;
+                    continue;
+                }
+            }
+        }
+        let (head, events) = sent.response.into_parts();
+        let mut headers = head.headers.clone();
+        strip_hop_headers(&mut headers);
+        let stream = relay(Relay::new(settle, events, sent.lease, head.headers, began));
+        let mut response = Response::new(Either::Right(StreamBody::new(stream)));
+        *response.headers_mut() = headers;
+        return Ok(response);
+    }
+}
+
+/// Sets the turn's tokens aside and reads the chain that it continues.
+async fn open<D: Deployment>(state: &State<D>, job: &Job) -> Result<Opened, Failure> {
+    if job.route.retention.is_none() {
+        return Ok(Opened::default());
+    }
+    let turn = &job.envelope.turn;
+    let request = OpenRequest {
+        turn: job.id().clone(),
+        previous: turn.previous.clone(),
+        budget: budget(job),
+    };
+    match state.ledger.open(&request, job.deadline).await {
+        Ok(opened) => Ok(opened),
+        Err(LedgerError::NoSuchTurn) => {
+            Err(Failure::not_run(Code::NotFound, "the turn to continue from does not exist"))
+        }
+        Err(err @ LedgerError::BudgetSpent(_)) => {
+            Err(Failure::not_run(Code::BudgetExhausted, err.to_string()))
+        }
+        Err(err) => Err(refusal(&err.to_string())),
+    }
+}
+
+/// Program, budget and the most that this turn spends, on turns with one.
+fn budget(job: &Job) -> Option<(Name, u64, u32)> {
+    let turn = &job.envelope.turn;
+    let most = u32::try_from(job.envelope.output_max).unwrap_or(u32::MAX);
+    Some((turn.program.clone()?, turn.budget?, most))
+}
+
+/// The chain and the new input.
+fn prompt(opened: &Opened, input: &Bytes) -> Bytes {
+    if opened.history.is_empty() {
+        return input.clone();
+    }
+    let mut prompt = BytesMut::with_capacity(opened.history.len() + input.len());
+    prompt.extend_from_slice(&opened.history);
+    prompt.extend_from_slice(input);
+    prompt.freeze()
+}
--- /dev/null
+++ b/crates/gg-gateway/src/walk.rs
@@ -0,0 +1,160 @@
+//! A request's walk: its head is read, its route found, its body read; then
+//! it is called or streamed, and its end is logged.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::Stream;
+use gg_protocol::{Code, Failure, Name};
+use gg_route::{Deployment, Envelope, Route, RouteKind, RouteTable, Service};
+use http::{Request, Response, header, request::Parts};
+use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
+use hyper::body::{Body, Frame, Incoming};
+use tokio::time::{self, Instant};
+
+use crate::{answer, call, relay::RelayError, retry::Tries, state::State, stream};
+
+/// A failure that is told when nothing is known yet is worth this wait.
+const UNCONFIGURED_RETRY_MS: u64 = 300;
+
+/// A body or the stream of a replica's events.
+pub(crate) type Answer<S> = Response<Either<Full<Bytes>, StreamBody<S>>>;
+
+/// A request that may be sent.
+pub(crate) struct Job {
+    pub(crate) head: Parts,
+    pub(crate) body: Bytes,
+    /// The client announced a body, perhaps an empty one.
+    pub(crate) has_body: bool,
+    pub(crate) envelope: Envelope,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Service,
+    pub(crate) began: Instant,
+    /// End of the client's patience or of the route's, whichever is first.
+    pub(crate) deadline: Instant,
+}
+
+impl Job {
+    pub(crate) fn id(&self) -> &Name {
+        &self.envelope.request
+    }
+
+    pub(crate) fn tries(&self) -> Tries {
+        Tries::new(self.route.kind, self.route.attempts)
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn answer<D: Deployment>(
+    state: Arc<State<D>>,
+    request: Request<Incoming>,
+) -> Answer<impl Stream<Item = Result<Frame<Bytes>, RelayError>> + Send> {
+    let (head, body) = request.into_parts();
+    let began = Instant::now();
+    let mut response = match admit(&state, head, body, began).await {
+        Err(failure) => {
+            log::info!("event=not_admitted reason={failure}");
+            answer::failure(&failure).map(Either::Left)
+        }
+        Ok(job) => {
+            let job = Arc::new(job);
+            let answered = match job.route.kind {
+                RouteKind::Stream => stream::run(&state, &job).await,
+                _ => call::run(&state, &job).await.map(|response| response.map(Either::Left)),
+            };
+            finish(&job, answered)
+        }
+    };
+    if state.is_stopping() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// Logs how a request ended, or how its stream began.
+fn finish<S>(job: &Job, answered: Result<Answer<S>, Failure>) -> Answer<S> {
+    let ms = job.began.elapsed().as_millis();
+    let (id, kind, route) = (job.id(), job.route.kind.as_str(), &job.route.name);
+    match answered {
+        Ok(response) => {
+            let status = response.status().as_u16();
+            log::info!(
+                "event=answered request={id} kind={kind} route={route} status={status} ms={ms}"
+            );
+            response
+        }
+        Err(failure) => {
+            log::warn!(
+                "event=failed request={id} kind={kind} route={route} ms={ms} reason={failure}"
+            );
+            answer::failure(&failure).map(Either::Left)
+        }
+    }
+}
+
+/// Reads a request and finds its route.
+async fn admit<D: Deployment>(
+    state: &State<D>,
+    head: Parts,
+    body: Incoming,
+    began: Instant,
+) -> Result<Job, Failure> {
+    let Some(table) = state.table() else {
+        return Err(Failure::not_run(Code::PlatformUnavailable, "no configuration is known yet")
+            .retry_in(UNCONFIGURED_RETRY_MS));
+    };
+    let envelope = state
+        .dialect
+        .envelope(&head.headers)
+        .map_err(|err| Failure::not_run(Code::BadRequest, err.to_string()))?;
+    let route = find(&table, &head)?;
+    let service = backend(&table, &route, &envelope)?;
+    let limit = envelope.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = began + limit;
+    let has_body = !body.is_end_stream();
+    let body = read_body(body, table.limits.body_bytes, deadline).await?;
+    Ok(Job { head, body, has_body, envelope, route, service, began, deadline })
+}
+
+fn find(table: &RouteTable, head: &Parts) -> Result<Arc<Route>, Failure> {
+    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or("");
+    let host = host.rsplit_once(':').map_or(host, |(name, _port)| name).to_ascii_lowercase();
+    let route = table.find(&host, head.uri.path()).cloned();
+    route.ok_or_else(|| Failure::not_run(Code::NotFound, "no route for this host and path"))
+}
+
+/// The service that takes the request; one line of turns stays with one.
+fn backend(table: &RouteTable, route: &Route, envelope: &Envelope) -> Result<Service, Failure> {
+    let key = envelope.session.as_ref().unwrap_or(&envelope.request);
+    let name = route.backend(hash(key));
+    let service = name.and_then(|name| table.service(name));
+    service
+        .cloned()
+        .ok_or_else(|| Failure::not_run(Code::HomeUnavailable, "the route's service is not known"))
+}
+
+/// FNV-1a, so that all gateways draw alike for one key.
+fn hash(key: &str) -> u64 {
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    let hash = key.bytes().fold(0xcbf2_9ce4_8422_2325, step);
+    hash ^ (hash >> 32)
+}
+
+async fn read_body(body: Incoming, max: usize, limit: Instant) -> Result<Bytes, Failure> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if body.size_hint().lower() > max as u64 {
+        return Err(Failure::not_run(Code::TooLarge, "the body is larger than the limit"));
+    }
+    match time::timeout_at(limit, Limited::new(body, max).collect()).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+            Err(Failure::not_run(Code::TooLarge, "the body is larger than the limit"))
+        }
+        Ok(Err(err)) => Err(Failure::not_run(Code::BadRequest, err.to_string())),
+        Err(_) => Err(Failure::not_run(Code::BadRequest, "the body did not arrive in time")),
+    }
+}
--- a/crates/gg-http/src/lib.rs
+++ b/crates/gg-http/src/lib.rs
@@ -9,4 +9,4 @@
 pub use body::Body;
 pub use client::{Client, Reply};
 pub use error::HttpError;
-pub use server::{Limits, json_response, read_body, serve};
+pub use server::{Limits, json_response, read_body, serve, serve_with};
--- a/crates/gg-http/src/server.rs
+++ b/crates/gg-http/src/server.rs
@@ -4,7 +4,11 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body as HttpBody, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use tokio::{
@@ -16,6 +20,8 @@
 
 use crate::{Body, HttpError, client};
 
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Limits of one listener.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -27,6 +33,9 @@
     pub body_timeout: Duration,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
+    /// Largest request head, in bytes, if it is limited further than by the
+    /// library.
+    pub head_bytes: Option<usize>,
     /// Longest time that a stop waits for requests under way.
     pub stop_timeout: Duration,
 }
@@ -38,6 +47,7 @@
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
             body_bytes: 8 << 20,
+            head_bytes: None,
             stop_timeout: Duration::from_secs(60),
         }
     }
@@ -46,15 +56,39 @@
 /// Pause after a failed accept, which mostly means too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Smallest read buffer that the library takes, in bytes.
+const HEAD_BYTES_MIN: usize = 8 << 10;
+
 /// Serves `listener` until `stop` is cancelled, then finishes what is under
 /// way.
-pub async fn serve<H, F>(listener: TcpListener, limits: Limits, stop: CancellationToken, handler: H)
-where
+pub async fn serve<H, F, B>(
+    listener: TcpListener,
+    limits: Limits,
+    stop: CancellationToken,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: HttpBody<Data = Bytes, Error: Into<BoxError>> + Send + 'static,
+{
+    serve_with(listener, limits.connections, move || limits, stop, handler).await;
+}
+
+/// As [`serve`], with limits that are asked for at each new connection; at
+/// most `connections` at a time.
+pub async fn serve_with<H, F, B>(
+    listener: TcpListener,
+    connections: usize,
+    limits: impl Fn() -> Limits,
+    stop: CancellationToken,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: HttpBody<Data = Bytes, Error: Into<BoxError>> + Send + 'static,
 {
     let tasks = TaskTracker::new();
-    let slots = Arc::new(Semaphore::new(limits.connections));
+    let slots = Arc::new(Semaphore::new(connections));
     loop {
         let slot = slots.clone().acquire_owned().await;
         let accepted = tokio::select! {
@@ -65,7 +99,7 @@
             time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let connection = connection(socket, limits, stop.clone(), handler.clone());
+        let connection = connection(socket, limits(), stop.clone(), handler.clone());
         tasks.spawn(async move {
             connection.await;
             drop(slot);
@@ -73,23 +107,26 @@
     }
     drop(listener);
     tasks.close();
-    let _ = time::timeout(limits.stop_timeout, tasks.wait()).await;
+    let _ = time::timeout(limits().stop_timeout, tasks.wait()).await;
 }
 
-async fn connection<H, F>(socket: TcpStream, limits: Limits, stop: CancellationToken, handler: H)
+async fn connection<H, F, B>(socket: TcpStream, limits: Limits, stop: CancellationToken, handler: H)
 where
     H: Fn(Request<Incoming>) -> F,
-    F: Future<Output = Response<Body>>,
+    F: Future<Output = Response<B>>,
+    B: HttpBody<Data = Bytes, Error: Into<BoxError>> + 'static,
 {
     let _ = socket.set_nodelay(true);
     let service = service_fn(|request| {
         let response = handler(request);
         async { Ok::<_, Infallible>(response.await) }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_timeout)
-        .serve_connection(TokioIo::new(socket), service);
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(limits.head_timeout);
+    if let Some(bytes) = limits.head_bytes {
+        builder.max_buf_size(bytes.max(HEAD_BYTES_MIN));
+    }
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
     let mut connection = pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
--- /dev/null
+++ b/crates/gg-ledger/src/entry.rs
@@ -0,0 +1,48 @@
+//! What the ledger keeps.
+
+use bytes::Bytes;
+use gg_protocol::Name;
+use serde::{Deserialize, Serialize};
+
+/// A finished turn.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnRecord {
+    /// Request that the turn was.
+    pub turn: Name,
+    /// Turn that it continued; none at the start of a chain.
+    pub previous: Option<Name>,
+    /// What the turn adds to the prompt of those that continue it: its input
+    /// and its output.
+    pub text: Bytes,
+    /// Replica that ran it and has its prompt in memory.
+    pub upstream: Name,
+    /// Milliseconds for which the turn is kept after its last use.
+    pub keep_ms: u32,
+}
+
+/// One line of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Line {
+    /// A turn may spend up to `tokens` of its program's budget.
+    Reserve {
+        /// Program.
+        program: Name,
+        /// Turn.
+        turn: Name,
+        /// Most tokens.
+        tokens: u32,
+    },
+    /// A turn has ended and spent `tokens`.
+    Settle {
+        /// Program.
+        program: Name,
+        /// Turn.
+        turn: Name,
+        /// Tokens handed to the client.
+        tokens: u32,
+    },
+    /// A finished turn.
+    Turn(TurnRecord),
+    /// Nothing of an older epoch is acknowledged after this line.
+    Epoch(u64),
+}
--- /dev/null
+++ b/crates/gg-ledger/src/index.rs
@@ -0,0 +1,170 @@
+//! What a ledger instance knows, in memory: turns by request and accounts by
+//! program. A plain type; the log feeds it.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use bytes::{Bytes, BytesMut};
+use gg_protocol::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::{Line, TurnRecord};
+
+/// A chain from its start to the turn asked for, as far as it is known.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chain {
+    /// Texts of the turns in order, from after `missing` on.
+    pub text: Bytes,
+    /// Turn that is not known here; the texts follow it.
+    pub missing: Option<Name>,
+    /// Replica that ran the last turn.
+    pub upstream: Option<Name>,
+}
+
+/// Tokens of one turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Spend {
+    Reserved(u32),
+    Settled(u32),
+}
+
+impl Spend {
+    fn tokens(self) -> u64 {
+        match self {
+            Spend::Reserved(tokens) | Spend::Settled(tokens) => u64::from(tokens),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Account {
+    turns: HashMap<Name, Spend>,
+    total: u64,
+    used: Instant,
+}
+
+#[derive(Debug)]
+struct Kept {
+    record: TurnRecord,
+    used: Instant,
+}
+
+/// Turns and accounts of one instance.
+#[derive(Debug, Default)]
+pub struct Index {
+    turns: HashMap<Name, Kept>,
+    accounts: HashMap<Name, Account>,
+    keep: Duration,
+}
+
+impl Index {
+    /// Takes in one line. Lines may come in any order and more than once.
+    pub fn apply(&mut self, line: Line, now: Instant) {
+        match line {
+            Line::Reserve { program, turn, tokens } => {
+                self.account(program, now).reserve(turn, tokens);
+            }
+            Line::Settle { program, turn, tokens } => {
+                self.account(program, now).settle(turn, tokens);
+            }
+            Line::Turn(record) => {
+                self.keep = self.keep.max(Duration::from_millis(record.keep_ms.into()));
+                self.turns.insert(record.turn.clone(), Kept { record, used: now });
+            }
+            Line::Epoch(_) => {}
+        }
+    }
+
+    fn account(&mut self, program: Name, now: Instant) -> &mut Account {
+        let empty = || Account { turns: HashMap::new(), total: 0, used: now };
+        let account = self.accounts.entry(program).or_insert_with(empty);
+        account.used = now;
+        account
+    }
+
+    /// Tokens that the turns of `program` other than `turn` spent or set
+    /// aside.
+    pub fn others(&self, program: &str, turn: &str) -> u64 {
+        let Some(account) = self.accounts.get(program) else { return 0 };
+        account.total - account.turns.get(turn).map_or(0, |spend| spend.tokens())
+    }
+
+    /// The chain that ends with `turn`; all of its turns count as used.
+    pub fn chain(&mut self, turn: &Name, now: Instant) -> Chain {
+        let mut texts = Vec::new();
+        let mut next = Some(turn.clone());
+        let mut upstream = None;
+        while let Some(name) = next.take() {
+            let Some(kept) = self.turns.get_mut(&name) else {
+                next = Some(name);
+                break;
+            };
+            kept.used = now;
+            upstream.get_or_insert_with(|| kept.record.upstream.clone());
+            texts.push(kept.record.text.clone());
+            next = kept.record.previous.clone();
+        }
+        let mut text = BytesMut::with_capacity(texts.iter().map(Bytes::len).sum());
+        texts.iter().rev().for_each(|part| text.extend_from_slice(part));
+        Chain { text: text.freeze(), missing: next, upstream }
+    }
+
+    /// Whether a turn is known.
+    pub fn has(&self, turn: &str) -> bool {
+        self.turns.contains_key(turn)
+    }
+
+    /// Number of turns and of accounts.
+    pub fn len(&self) -> (usize, usize) {
+        (self.turns.len(), self.accounts.len())
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.turns.is_empty() && self.accounts.is_empty()
+    }
+
+    /// All that is known, as lines.
+    pub fn lines(&self) -> Vec<Line> {
+        let turns = self.turns.values().map(|kept| Line::Turn(kept.record.clone()));
+        let accounts = self.accounts.iter().flat_map(|(program, account)| account.lines(program));
+        turns.chain(accounts).collect()
+    }
+
+    /// Drops what was not used within its time, `margin` added.
+    pub fn expire(&mut self, now: Instant, margin: Duration) {
+        let keep = self.keep + margin;
+        self.turns.retain(|_, kept| {
+            let keep = Duration::from_millis(kept.record.keep_ms.into()) + margin;
+            now.saturating_duration_since(kept.used) < keep
+        });
+        self.accounts.retain(|_, account| now.saturating_duration_since(account.used) < keep);
+    }
+}
+
+impl Account {
+    fn reserve(&mut self, turn: Name, tokens: u32) {
+        if !self.turns.contains_key(&turn) {
+            self.turns.insert(turn, Spend::Reserved(tokens));
+            self.total += u64::from(tokens);
+        }
+    }
+
+    fn settle(&mut self, turn: Name, tokens: u32) {
+        let before = self.turns.insert(turn, Spend::Settled(tokens));
+        self.total += u64::from(tokens);
+        self.total -= before.map_or(0, Spend::tokens);
+    }
+
+    fn lines(&self, program: &Name) -> impl Iterator<Item = Line> {
+        self.turns.iter().map(|(turn, spend)| {
+            let (program, turn) = (program.clone(), turn.clone());
+            match *spend {
+                Spend::Reserved(tokens) => Line::Reserve { program, turn, tokens },
+                Spend::Settled(tokens) => Line::Settle { program, turn, tokens },
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/gg-ledger/src/lib.rs
@@ -0,0 +1,30 @@
+//! The ledger: turns of programs and what they spent, kept on the disks of
+//! several instances.
+//!
+//! Entries are never changed once they are written, so instances need no
+//! leader: whoever writes one waits until enough disks have synced it, and
+//! whoever reads asks enough instances to see everything that was
+//! acknowledged. The set of instances that count is agreed in the platform's
+//! directory and changes in two steps ([`LedgerSet`]).
+
+mod client;
+mod entry;
+mod error;
+mod index;
+mod keeper;
+mod link;
+mod log_file;
+mod node;
+mod protocol;
+mod pull;
+mod set;
+mod socket;
+
+pub use client::{Ledger, OpenRequest, Opened, Settlement};
+pub use entry::{Line, TurnRecord};
+pub use error::LedgerError;
+pub use index::{Chain, Index};
+pub use keeper::{Keeper, KeeperSettings};
+pub use log_file::{LogFile, LogSettings, Recovered};
+pub use node::{Node, NodeError, NodeSettings};
+pub use set::{LedgerSet, Member, Registration, SET_NAME};
--- /dev/null
+++ b/crates/gg-ledger/src/log_file.rs
@@ -0,0 +1,224 @@
+//! The log on disk: segments of checksummed lines. All calls block; they run
+//! on a thread of their own.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{self, Write},
+    path::{Path, PathBuf},
+};
+
+use serde::Serialize;
+
+use crate::Line;
+
+/// Bytes before each line: its length and its checksum, little-endian.
+const HEAD_BYTES: usize = 8;
+
+/// Bytes after which a new segment is begun.
+const SEGMENT_BYTES: u64 = 16 << 20;
+
+/// Bytes of a checkpoint that are written at a time.
+const CHUNK_BYTES: usize = 1 << 20;
+
+const SEGMENT: &str = "log";
+const UNFINISHED: &str = "tmp";
+
+/// Where the log lies and how much of it is kept.
+#[derive(Clone, Debug)]
+pub struct LogSettings {
+    /// Folder.
+    pub folder: PathBuf,
+    /// Bytes of segments after which the log is written anew from what is
+    /// still of use.
+    pub checkpoint_bytes: u64,
+}
+
+/// What was found on disk.
+#[derive(Debug, Default)]
+pub struct Recovered {
+    /// All lines, oldest segment first.
+    pub lines: Vec<Line>,
+    /// Bytes cut off behind the last whole line of a segment.
+    pub torn_bytes: u64,
+    /// Identity of the disk.
+    pub disk: u64,
+}
+
+/// The log, open for appending.
+#[derive(Debug)]
+pub struct LogFile {
+    settings: LogSettings,
+    file: File,
+    number: u64,
+    bytes: u64,
+    /// Bytes of all segments but the present one.
+    older: u64,
+}
+
+impl LogFile {
+    /// Opens the log; what was written last and not whole is cut off.
+    pub fn open(settings: LogSettings) -> io::Result<(Self, Recovered)> {
+        fs::create_dir_all(&settings.folder)?;
+        let mut recovered =
+            Recovered { disk: disk_identity(&settings.folder)?, ..Recovered::default() };
+        let mut older = 0;
+        let mut last = 0;
+        for (number, path) in segments(&settings.folder)? {
+            older += read_segment(&path, &mut recovered)?;
+            last = number;
+        }
+        let number = last + 1;
+        let file = create(&settings.folder, number)?;
+        Ok((LogFile { settings, file, number, bytes: 0, older }, recovered))
+    }
+
+    /// Appends encoded lines and returns when they are on disk.
+    pub fn append(&mut self, encoded: &[u8]) -> io::Result<()> {
+        self.file.write_all(encoded)?;
+        self.file.sync_data()?;
+        self.bytes += encoded.len() as u64;
+        if self.bytes >= SEGMENT_BYTES {
+            self.begin_segment()?;
+        }
+        Ok(())
+    }
+
+    /// Whether the log should be written anew.
+    pub fn is_checkpoint_due(&self) -> bool {
+        self.older + self.bytes >= self.settings.checkpoint_bytes
+    }
+
+    fn begin_segment(&mut self) -> io::Result<()> {
+        self.file = create(&self.settings.folder, self.number + 1)?;
+        self.number += 1;
+        self.older += self.bytes;
+        self.bytes = 0;
+        Ok(())
+    }
+
+    /// Writes `lines`, which hold all that is still of use, and removes all
+    /// older segments.
+    pub fn checkpoint(&mut self, lines: &[Line]) -> io::Result<()> {
+        let folder = &self.settings.folder;
+        let outdated = segments(folder)?;
+        let number = self.number + 1;
+        let unfinished = folder.join(format!("{number:08}.{UNFINISHED}"));
+        let mut file = File::create(&unfinished)?;
+        let mut chunk = Vec::with_capacity(CHUNK_BYTES);
+        let mut written = 0;
+        for line in lines {
+            encode_line(line, &mut chunk);
+            if chunk.len() >= CHUNK_BYTES {
+                file.write_all(&chunk)?;
+                written += chunk.len() as u64;
+                chunk.clear();
+            }
+        }
+        file.write_all(&chunk)?;
+        written += chunk.len() as u64;
+        file.sync_data()?;
+        fs::rename(&unfinished, segment_path(folder, number))?;
+        sync_folder(folder)?;
+        self.file = create(folder, number + 1)?;
+        self.number = number + 1;
+        self.bytes = 0;
+        self.older = written;
+        for (_, path) in outdated {
+            fs::remove_file(path)?;
+        }
+        sync_folder(&self.settings.folder)
+    }
+}
+
+/// Appends one line in the log's form to `buffer`.
+pub(crate) fn encode_line<T: Serialize>(line: &T, buffer: &mut Vec<u8>) {
+    let start = buffer.len();
+    buffer.extend_from_slice(&[0; HEAD_BYTES]);
+    // Writing into memory fails for no line.
+    let _ = postcard::to_io(line, &mut *buffer);
+    let content = &buffer[start + HEAD_BYTES..];
+    let (length, sum) = (content.len() as u32, crc32fast::hash(content));
+    buffer[start..start + 4].copy_from_slice(&length.to_le_bytes());
+    buffer[start + 4..start + HEAD_BYTES].copy_from_slice(&sum.to_le_bytes());
+}
+
+/// Reads the whole lines of a segment and cuts off the rest. Returns the
+/// bytes that stay.
+fn read_segment(path: &Path, recovered: &mut Recovered) -> io::Result<u64> {
+    let content = fs::read(path)?;
+    let mut rest = content.as_slice();
+    while let Some((line, behind)) = decode_line(rest) {
+        recovered.lines.push(line);
+        rest = behind;
+    }
+    let whole = (content.len() - rest.len()) as u64;
+    if !rest.is_empty() {
+        recovered.torn_bytes += rest.len() as u64;
+        let file = OpenOptions::new().write(true).open(path)?;
+        file.set_len(whole)?;
+        file.sync_all()?;
+    }
+    Ok(whole)
+}
+
+/// The first line of `content` and what follows it; `None` if it is not
+/// whole.
+fn decode_line(content: &[u8]) -> Option<(Line, &[u8])> {
+    let (head, rest) = content.split_at_checked(HEAD_BYTES)?;
+    let length = u32::from_le_bytes(head[..4].try_into().ok()?) as usize;
+    let sum = u32::from_le_bytes(head[4..].try_into().ok()?);
+    let (line, behind) = rest.split_at_checked(length)?;
+    if length == 0 || crc32fast::hash(line) != sum {
+        return None;
+    }
+    Some((postcard::from_bytes(line).ok()?, behind))
+}
+
+/// Segments by number; leftovers of unfinished checkpoints are removed.
+fn segments(folder: &Path) -> io::Result<Vec<(u64, PathBuf)>> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        let number = path.file_stem().and_then(|stem| stem.to_str()?.parse::<u64>().ok());
+        match (number, path.extension().and_then(|ending| ending.to_str())) {
+            (Some(number), Some(SEGMENT)) => found.push((number, path)),
+            (Some(_), Some(UNFINISHED)) => fs::remove_file(path)?,
+            _ => {}
+        }
+    }
+    found.sort();
+    Ok(found)
+}
+
+fn segment_path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("{number:08}.{SEGMENT}"))
+}
+
+fn create(folder: &Path, number: u64) -> io::Result<File> {
+    let file = OpenOptions::new().create(true).append(true).open(segment_path(folder, number))?;
+    file.sync_all()?;
+    sync_folder(folder)?;
+    Ok(file)
+}
+
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
+/// Identity of the disk, drawn at its first use.
+fn disk_identity(folder: &Path) -> io::Result<u64> {
+    let path = folder.join("identity");
+    if let Ok(text) = fs::read_to_string(&path)
+        && let Ok(identity) = text.trim().parse()
+    {
+        return Ok(identity);
+    }
+    let identity = rand::random::<u64>() >> 1;
+    let unfinished = folder.join("identity.new");
+    let mut file = File::create(&unfinished)?;
+    writeln!(file, "{identity}")?;
+    file.sync_all()?;
+    fs::rename(&unfinished, &path)?;
+    sync_folder(folder)?;
+    Ok(identity)
+}
--- /dev/null
+++ b/crates/gg-ledger/src/protocol.rs
@@ -0,0 +1,142 @@
+//! Messages between ledger instances and their clients: length-prefixed
+//! frames, each a message in the postcard codec.
+
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use futures::SinkExt;
+use gg_protocol::Name;
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::{net::tcp::OwnedWriteHalf, sync::mpsc};
+use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
+
+use crate::{LedgerSet, Line, TurnRecord, index::Chain};
+
+/// Largest frame, in bytes; a chain of 280,000 tokens fits.
+const FRAME_MAX_BYTES: usize = 16 << 20;
+
+/// A call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Request {
+    /// Number that the reply repeats.
+    pub(crate) id: u64,
+    /// Epoch of the set that the caller knows.
+    pub(crate) epoch: u64,
+    /// Disk that the caller means to reach.
+    pub(crate) disk: u64,
+    /// What is asked.
+    pub(crate) ask: Ask,
+}
+
+/// What is asked.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Ask {
+    /// Set tokens aside for a turn; read the chain that it continues.
+    Open {
+        /// Turn that begins.
+        turn: Name,
+        /// Program and most tokens to set aside, on routes with a budget.
+        reserve: Option<(Name, u32)>,
+        /// Turn whose chain is wanted from this instance.
+        chain: Option<Name>,
+    },
+    /// A turn has ended.
+    Close {
+        /// Turn that ended.
+        turn: Name,
+        /// Program and tokens spent.
+        settle: Option<(Name, u32)>,
+        /// The turn, if it finished whole.
+        record: Option<TurnRecord>,
+    },
+    /// Read a chain.
+    Fetch(Name),
+    /// How far the instance is.
+    Status,
+    /// Send everything, as [`Answer::Part`]s.
+    Pull,
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Reply {
+    /// Number of the call.
+    pub(crate) id: u64,
+    /// The answer.
+    pub(crate) answer: Answer,
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Answer {
+    /// Reply to [`Ask::Open`].
+    Opened {
+        /// Tokens that other turns of the program spent or set aside.
+        others: u64,
+        /// The chain, if it was asked for here.
+        chain: Option<Chain>,
+    },
+    /// The end is on disk.
+    Closed,
+    /// Reply to [`Ask::Fetch`].
+    Fetched(Chain),
+    /// Reply to [`Ask::Status`].
+    Status {
+        /// Epoch for which the instance has copied everything, if it did.
+        copied: Option<u64>,
+    },
+    /// Some of what was pulled.
+    Part(Vec<Line>),
+    /// All was sent.
+    PulledAll,
+    /// The call was of an older epoch and not carried out.
+    Stale(LedgerSet),
+    /// The call was meant for another disk.
+    OtherDisk,
+}
+
+quick_error! {
+    /// A frame that can't be read.
+    #[derive(Debug)]
+    pub enum FrameError {
+        /// Not a message.
+        Codec(err: postcard::Error) {
+            from()
+            display("frame can't be read: {err}")
+        }
+    }
+}
+
+/// Writes frames to a connection.
+pub(crate) type FrameWriter = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+
+/// Splits a byte stream into frames.
+pub(crate) fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX_BYTES).new_codec()
+}
+
+/// Encodes a message into a frame's content.
+pub(crate) fn encode<T: Serialize>(message: &T) -> Bytes {
+    // Writing into memory fails for no message of these types.
+    postcard::to_allocvec(message).map(Bytes::from).unwrap_or_default()
+}
+
+/// Decodes a frame's content.
+pub(crate) fn decode<T: DeserializeOwned>(frame: &BytesMut) -> Result<T, FrameError> {
+    Ok(postcard::from_bytes(frame)?)
+}
+
+/// Writes `first` and all that waits behind it with as few system calls as
+/// possible.
+pub(crate) async fn write_frames(
+    writer: &mut FrameWriter,
+    first: Bytes,
+    queued: &mut mpsc::Receiver<Bytes>,
+) -> io::Result<()> {
+    writer.feed(first).await?;
+    while let Ok(more) = queued.try_recv() {
+        writer.feed(more).await?;
+    }
+    SinkExt::<Bytes>::flush(writer).await
+}
--- /dev/null
+++ b/crates/gg-platform/src/follow.rs
@@ -0,0 +1,84 @@
+//! Follows one kind of a directory: a list, then watches from its revision.
+
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time;
+
+use crate::{Change, Directory, Entry, Kind, PlatformError, Watched};
+
+/// How a kind is followed.
+#[derive(Clone, Copy, Debug)]
+pub struct FollowSettings {
+    /// Longest wait of one watch; each watch is a priced call.
+    pub wait: Duration,
+    /// First pause after a failed call; doubles up to `pause_max`.
+    pub pause: Duration,
+    /// Longest pause between failed calls, which bounds how late the
+    /// directory's return is noticed.
+    pub pause_max: Duration,
+}
+
+impl Default for FollowSettings {
+    fn default() -> Self {
+        FollowSettings {
+            wait: Duration::from_secs(30),
+            pause: Duration::from_millis(50),
+            pause_max: Duration::from_millis(500),
+        }
+    }
+}
+
+/// What following a kind brings.
+#[derive(Debug)]
+pub enum News {
+    /// All entries; what is not among them is gone.
+    Snapshot(Vec<Entry>),
+    /// Changes since the last news.
+    Changes(Vec<Change>),
+    /// The directory does not answer; the last known state stands.
+    Lost(PlatformError),
+}
+
+/// Follows `kind` until dropped and hands all news to `take`.
+pub async fn follow<D: Directory>(
+    directory: &D,
+    kind: Kind,
+    settings: FollowSettings,
+    mut take: impl FnMut(News),
+) {
+    let mut pause = settings.pause;
+    let mut revision = None;
+    loop {
+        match step(directory, kind, settings.wait, revision).await {
+            Ok((next, news)) => {
+                pause = settings.pause;
+                revision = next;
+                news.into_iter().for_each(&mut take);
+            }
+            Err(err) => {
+                take(News::Lost(err));
+                let spread = rand::rng().random_range(0.5..1.5);
+                time::sleep(pause.mul_f64(spread)).await;
+                pause = (pause * 2).min(settings.pause_max);
+            }
+        }
+    }
+}
+
+/// One call: a list without a revision, else a watch.
+async fn step<D: Directory>(
+    directory: &D,
+    kind: Kind,
+    wait: Duration,
+    revision: Option<u64>,
+) -> Result<(Option<u64>, Option<News>), PlatformError> {
+    let Some(revision) = revision else {
+        let listed = directory.snapshot(kind).await?;
+        return Ok((Some(listed.revision), Some(News::Snapshot(listed.entries))));
+    };
+    match directory.changes(kind, revision, wait).await? {
+        Watched::HistoryGone => Ok((None, None)),
+        Watched::Changes(next, changes) => Ok((Some(next), Some(News::Changes(changes)))),
+    }
+}
--- a/crates/gg-platform/src/lib.rs
+++ b/crates/gg-platform/src/lib.rs
@@ -2,11 +2,15 @@
 //! watches, and the list of instances.
 
 mod client;
+mod directory;
 mod error;
+mod follow;
 mod store;
 mod types;
 
 pub use client::{Platform, PlatformSettings};
+pub use directory::{Change, Directory, Entry, Kind, Snapshot, Watched};
 pub use error::PlatformError;
+pub use follow::{FollowSettings, News, follow};
 pub use store::ObjectStore;
 pub use types::{Changes, InstanceInfo, InstanceKind, InstanceState, Item, Listing, Object, When};
--- a/crates/gg-protocol/src/failure.rs
+++ b/crates/gg-protocol/src/failure.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 
 use crate::JournalId;
 
@@ -157,6 +158,23 @@
         Failure { ran: Ran::Unknown, ..Failure::not_run(code, message) }
     }
 
+    /// The body that tells callers of the failure.
+    pub fn to_json(&self) -> Value {
+        let mut error = json!({
+            "code": self.code.as_str(),
+            "type": self.code.as_str(),
+            "message": self.message,
+            "ran": self.ran.as_str(),
+        });
+        if !self.help.is_empty() {
+            error["help"] = json!(self.help);
+        }
+        if let Some(retry_ms) = self.retry_ms {
+            error["retry_after"] = json!(retry_ms as f64 / 1000.0);
+        }
+        json!({ "error": error })
+    }
+
     /// The same failure with a help line.
     pub fn help(self, help: impl Into<String>) -> Self {
         Failure { help: help.into(), ..self }
--- a/crates/gg-settings/src/daemon.rs
+++ b/crates/gg-settings/src/daemon.rs
@@ -159,7 +159,7 @@
             Err(err) => return Err(Faults(vec![syntax_fault(file, &err)])),
         };
         let faults = RefCell::new(Vec::new());
-        check_sections(file, &ini, &faults);
+        check_sections(file, &ini, &SECTIONS, &faults);
         let section = |name| Section::new(file, name, ini.section(Some(name)), &faults);
         let settings = read(&section);
         let faults = faults.into_inner();
@@ -177,14 +177,19 @@
     }
 }
 
-fn check_sections(file: &str, ini: &Ini, faults: &RefCell<Vec<Fault>>) {
+pub(crate) fn check_sections(
+    file: &str,
+    ini: &Ini,
+    allowed: &[&str],
+    faults: &RefCell<Vec<Fault>>,
+) {
     for (name, values) in ini {
         let name = name.unwrap_or("");
-        if SECTIONS.contains(&name) || (name.is_empty() && values.is_empty()) {
+        if allowed.contains(&name) || (name.is_empty() && values.is_empty()) {
             continue;
         }
         let section = Section::new(file, name, None, faults);
-        section.fault("", "", &format!("a section among: {}", SECTIONS.join(", ")));
+        section.fault("", "", &format!("a section among: {}", allowed.join(", ")));
     }
 }
 
@@ -226,7 +231,7 @@
     }
 }
 
-fn instance_name(section: &Section<'_>, key: &'static str) -> Name {
+pub(crate) fn instance_name(section: &Section<'_>, key: &'static str) -> Name {
     let text = section.text_or(key, "");
     if !is_name(&text) {
         section.fault(key, &text, "a name of letters, digits, - and _, at most 64");
@@ -275,7 +280,7 @@
     timing
 }
 
-fn read_log(section: Section<'_>) -> LogSettings {
+pub(crate) fn read_log(section: Section<'_>) -> LogSettings {
     let default = LogSettings::default();
     let log = LogSettings {
         level: section.text_or("level", &default.level),
--- a/crates/gg-settings/src/lib.rs
+++ b/crates/gg-settings/src/lib.rs
@@ -6,8 +6,10 @@
 mod configuration;
 mod daemon;
 mod fault;
+mod node;
 mod section;
 
 pub use configuration::{Draft, parse_configuration, print_document};
 pub use daemon::{DaemonSettings, ListenSettings, LogSettings, SAMPLE, TimingSettings};
 pub use fault::{Fault, Faults};
+pub use node::{DirectorySettings, GatewaySettings, LedgerSettings, Settings};
--- a/crates/gg-settings/src/section.rs
+++ b/crates/gg-settings/src/section.rs
@@ -93,6 +93,15 @@
         text
     }
 
+    /// `ip:port` that has to be there.
+    pub(crate) fn socket(&self, key: &'static str) -> std::net::SocketAddr {
+        let text = self.text(key).unwrap_or("");
+        text.parse().unwrap_or_else(|_| {
+            self.fault(key, text, "an IP address and port such as 127.0.0.1:7100");
+            std::net::SocketAddr::from(([0, 0, 0, 0], 0))
+        })
+    }
+
     /// Words separated by commas.
     pub(crate) fn list(&self, key: &'static str) -> Vec<String> {
         let text = self.text(key).unwrap_or("");
--- a/src/bin/greengageforkd.rs
+++ b/src/bin/greengageforkd.rs
@@ -1,10 +1,12 @@
 //! The daemon of greengagefork.
 
-use std::{fs, process::ExitCode};
+use std::{fmt::Display, fs, process::ExitCode};
 
 use argh::FromArgs;
+use gg_adapter::{Adapter, AdapterSettings};
 use gg_daemon::{init_logs, run_until_signal};
-use gg_settings::{DaemonSettings, SAMPLE};
+use gg_gateway::{run_gateway, run_ledger};
+use gg_settings::{DirectorySettings, LogSettings, SAMPLE, Settings};
 use mimalloc::MiMalloc;
 use tokio::runtime::Builder;
 
@@ -39,18 +41,14 @@
         print!("{SAMPLE}");
         return ExitCode::SUCCESS;
     }
-    let Some(settings) = arguments.file.as_deref().and_then(load) else {
-        return ExitCode::from(EXIT_FAULTS);
-    };
-    if let Err(err) = init_logs(&settings.log, &settings.instance) {
-        eprintln!("error: the log can't be opened: {err}");
-        return ExitCode::FAILURE;
+    match arguments.file.as_deref().and_then(load) {
+        Some(settings) => serve(settings),
+        None => ExitCode::from(EXIT_FAULTS),
     }
-    serve(settings)
 }
 
 /// Reads the settings; prints all faults if there are any.
-fn load(file: &str) -> Option<DaemonSettings> {
+fn load(file: &str) -> Option<Settings> {
     let text = match fs::read_to_string(file) {
         Ok(text) => text,
         Err(err) => {
@@ -58,7 +56,7 @@
             return None;
         }
     };
-    match DaemonSettings::parse(file, &text) {
+    match Settings::parse(file, &text) {
         Ok(settings) => Some(settings),
         Err(faults) => {
             eprint!("{faults}");
@@ -67,16 +65,50 @@
     }
 }
 
-fn serve(settings: DaemonSettings) -> ExitCode {
-    let runtime = Builder::new_multi_thread().worker_threads(settings.workers).enable_all().build();
-    let runtime = match runtime {
+/// Runs the part that the settings name.
+fn serve(settings: Settings) -> ExitCode {
+    match settings {
+        Settings::Daemon(settings) => {
+            let mut threads = Builder::new_multi_thread();
+            threads.worker_threads(settings.workers);
+            let (log, instance) = (settings.log.clone(), settings.instance.clone());
+            run(threads, &log, &instance, run_until_signal(settings))
+        }
+        Settings::Gateway(settings, directory, log) => {
+            let instance = settings.instance.clone();
+            let gateway = run_gateway(settings, adapter(directory));
+            run(Builder::new_current_thread(), &log, &instance, gateway)
+        }
+        Settings::Ledger(settings, directory, log) => {
+            let instance = settings.instance.clone();
+            let ledger = run_ledger(settings, adapter(directory));
+            run(Builder::new_current_thread(), &log, &instance, ledger)
+        }
+    }
+}
+
+fn adapter(settings: DirectorySettings) -> Adapter {
+    Adapter::new(AdapterSettings { address: settings.address, timeout: settings.timeout })
+}
+
+fn run<E: Display>(
+    mut threads: Builder,
+    log: &LogSettings,
+    instance: &str,
+    program: impl Future<Output = Result<(), E>>,
+) -> ExitCode {
+    if let Err(err) = init_logs(log, instance) {
+        eprintln!("error: the log can't be opened: {err}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = match threads.enable_all().build() {
         Ok(runtime) => runtime,
         Err(err) => {
             eprintln!("error: threads can't be started: {err}");
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(run_until_signal(settings)) {
+    match runtime.block_on(program) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("error: {err}");
