Ledger members that leave calls unanswered are noticed early; copies are quick

Ruled out: wrong quorums (the set changed as designed, only late). Change: calls without an answer for 250 ms mark a link as slow, turns are refused after 120 ms without a quorum, the gateway is then not ready; one sync at the end of a copy; a list after each broken watch; instances that are cut off themselves don't judge others.

--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -56,9 +56,11 @@
         }
     }
 
-    /// Whether new connections should come here.
+    /// Whether new connections should come here: not while turns can't be
+    /// opened and closed, as another gateway may be better connected.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.table().is_some() && self.fleet.is_usable()
+        let is_configured = self.table().is_some() && self.fleet.is_usable();
+        !self.is_stopping() && is_configured && self.ledger.is_ready()
     }
 
     /// Whether a planned stop is under way.
--- a/crates/gg-gateway/src/walk.rs
+++ b/crates/gg-gateway/src/walk.rs
@@ -65,7 +65,8 @@
             finish(&job, answered)
         }
     };
-    if state.is_stopping() {
+    if state.is_stopping() || !state.ledger.is_ready() {
+        // The client's next connection goes to a gateway that is ready.
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -21,7 +21,11 @@
 };
 
 /// Longest wait for enough instances to open a turn.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Wait for enough members to be connected; after that a turn is refused, so
+/// that its client goes to another gateway in time.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(120);
 
 /// Longest wait for enough disks to hold a finished turn.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -30,6 +34,9 @@
 /// then the chain is read from another one.
 const NEAREST_PATIENCE: Duration = Duration::from_millis(40);
 
+/// Pause between two looks whether enough members are connected.
+const CONNECT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Pause before the members are asked again after a failed round.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 
@@ -77,6 +84,15 @@
     links: Vec<Arc<Link>>,
 }
 
+impl View {
+    /// Whether enough members answer to open and close turns.
+    fn is_usable(&self) -> bool {
+        let usable = self.links.iter().filter(|link| link.is_usable());
+        let usable: Vec<u64> = usable.map(|link| link.member.disk).collect();
+        !self.set.members.is_empty() && self.set.is_read(&usable) && self.set.is_written(&usable)
+    }
+}
+
 impl Ledger {
     /// A client without members; its links end when `stop` is cancelled.
     pub fn new(centre: Name, stop: CancellationToken) -> Self {
@@ -120,9 +136,7 @@
 
     /// Whether enough members are connected to open and close turns.
     pub fn is_ready(&self) -> bool {
-        let view = self.view();
-        let up: Vec<u64> = view.links.iter().filter(|l| l.is_up()).map(|l| l.member.disk).collect();
-        !view.set.members.is_empty() && view.set.is_read(&up) && view.set.is_written(&up)
+        self.view().is_usable()
     }
 
     /// Epoch of the set.
@@ -139,8 +153,16 @@
     /// Sets tokens aside for a turn and reads the chain that it continues.
     pub async fn open(&self, request: &OpenRequest, limit: Instant) -> Result<Opened, LedgerError> {
         let limit = limit.min(Instant::now() + OPEN_TIMEOUT);
-        let mut last = LedgerError::Unavailable("no members known");
+        let mut last = LedgerError::Unavailable("too few members connected");
+        let patience = Instant::now() + CONNECT_PATIENCE;
         while Instant::now() < limit {
+            if !self.is_ready() {
+                if Instant::now() >= patience {
+                    break;
+                }
+                time::sleep(CONNECT_PAUSE).await;
+                continue;
+            }
             match time::timeout_at(limit, self.try_open(request)).await {
                 Err(_) => last = LedgerError::Unavailable("too few answers in time"),
                 Ok(Err(LedgerError::Unavailable(text))) => last = LedgerError::Unavailable(text),
@@ -191,7 +213,6 @@
             match answer {
                 Ok(Answer::Opened { others, chain: found }) => {
                     answered.push(link.member.disk);
-                    link.set_slow(false);
                     most = others.max(most);
                     chain = chain.or(found);
                 }
@@ -211,9 +232,6 @@
             return Err(LedgerError::BudgetSpent(most));
         }
         let Some(previous) = &request.previous else { return Ok(Opened::default()) };
-        if chain.is_none() {
-            self.mark_slow(&view, nearest);
-        }
         self.history(&view, previous, chain).await
     }
 
@@ -342,17 +360,10 @@
     fn nearest(&self, view: &View) -> Option<u64> {
         let present = view.links.iter().filter(|link| view.set.has(link.member.disk));
         let best = present.filter(|link| link.is_up()).min_by_key(|link| {
-            (link.is_slow(), link.member.centre != self.centre, link.member.disk)
+            (!link.is_usable(), link.member.centre != self.centre, link.member.disk)
         })?;
         Some(best.member.disk)
     }
-
-    fn mark_slow(&self, view: &View, disk: u64) {
-        for link in view.links.iter().filter(|link| link.member.disk == disk) {
-            log::info!("event=ledger_slow instance={}", link.member.instance);
-            link.set_slow(true);
-        }
-    }
 }
 
 fn names(members: &[crate::Member]) -> String {
--- a/crates/gg-ledger/src/keeper.rs
+++ b/crates/gg-ledger/src/keeper.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+use futures::future::join_all;
 use gg_platform::{Change, Entry, FollowSettings, Kind, News, PlatformError, follow};
 use gg_protocol::Name;
 use gg_route::Deployment;
@@ -37,11 +38,15 @@
 }
 
 /// Time between two looks at the set while nothing changes.
-const LOOK_INTERVAL: Duration = Duration::from_millis(700);
+const LOOK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Wait for all instances to register before a set is founded with fewer.
 const FOUNDING_WAIT: Duration = Duration::from_secs(3);
 
+/// A change is given up when a newcomer is silent this many times longer than
+/// a member that is replaced: until then it costs little.
+const ABANDON_FACTOR: u32 = 4;
+
 /// Longest wait for another instance's status.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -194,7 +199,12 @@
         if is_alone && set.members.len() >= set.size_wanted() {
             return Ok(());
         }
-        self.listen_for(&set, &registered, heard).await;
+        // Members rest, unless one is to be emptied; spare instances look for
+        // a place.
+        let is_spare = !set.has(self.node.disk());
+        if is_spare || set.members.iter().any(|member| leaving.contains_key(&member.instance)) {
+            self.listen_for(&set, &registered, heard).await;
+        }
         match self.plan(&set, &registered, &leaving, heard) {
             None => Ok(()),
             Some(next) => self.write_set(set.begin(next), Some(revision)).await,
@@ -210,6 +220,9 @@
         heard: &HashMap<u64, Instant>,
     ) -> Option<Vec<Member>> {
         let lost_after = self.settings.lost_after;
+        if !self.is_connected(set, heard) {
+            return None;
+        }
         let plan = Plan {
             set,
             registered,
@@ -319,7 +332,7 @@
                     Err(err) => {
                         log::info!("event=learner_silent instance={} error={err}", member.instance);
                         let at = *heard.entry(member.disk).or_insert_with(Instant::now);
-                        lost |= at.elapsed() > self.settings.lost_after;
+                        lost |= at.elapsed() > self.settings.lost_after * ABANDON_FACTOR;
                         None
                     }
                 },
@@ -329,6 +342,10 @@
         if is_done {
             self.write_set(set.finish(), Some(revision)).await
         } else if lost && set.has(me) {
+            self.listen_for(set, &IndexMap::new(), heard).await;
+            if !self.is_connected(set, heard) {
+                return Ok(());
+            }
             log::warn!("event=set_change_abandoned epoch={}", set.epoch);
             self.write_set(set.abandon(), Some(revision)).await
         } else {
@@ -343,23 +360,32 @@
         registered: &IndexMap<Name, Registration>,
         heard: &mut HashMap<u64, Instant>,
     ) {
-        // Only instances outside the set look for a place; members rest.
-        let is_spare = !set.has(self.node.disk());
-        if !is_spare {
-            return;
-        }
         let others = registered.values().map(|found| &found.member);
-        let asked: Vec<&Member> = set.members.iter().chain(others).collect();
-        for member in asked {
-            let now = Instant::now();
-            if member.disk == self.node.disk() || status(member, set.epoch).await.is_ok() {
-                heard.insert(member.disk, now);
-            } else {
-                heard.entry(member.disk).or_insert(now);
-            }
+        let asked = set.members.iter().chain(others);
+        let asked = asked.filter(|member| member.disk != self.node.disk());
+        let asked =
+            asked.map(async |member| (member.disk, status(member, set.epoch).await.is_ok()));
+        let answers = join_all(asked).await;
+        let now = Instant::now();
+        for (disk, answered) in answers {
+            match answered {
+                true => heard.insert(disk, now),
+                false => Some(*heard.entry(disk).or_insert(now)),
+            };
         }
     }
 
+    /// Whether this instance has just heard of enough members to judge the
+    /// others; one that is cut off itself must not.
+    fn is_connected(&self, set: &LedgerSet, heard: &HashMap<u64, Instant>) -> bool {
+        let is_near = |member: &&Member| {
+            member.disk == self.node.disk()
+                || heard.get(&member.disk).is_some_and(|at| at.elapsed() < LOOK_INTERVAL)
+        };
+        let near: Vec<u64> = set.members.iter().filter(is_near).map(|member| member.disk).collect();
+        set.is_read(&near)
+    }
+
     /// Tells the operators how far the emptying of this instance is. Only an
     /// instance that the set doesn't need any more is empty.
     async fn tell_leaving(
--- a/crates/gg-ledger/src/link.rs
+++ b/crates/gg-ledger/src/link.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use futures::StreamExt;
+use futures::{SinkExt, StreamExt};
 use tokio::{
     net::TcpStream,
     sync::{mpsc, oneshot},
@@ -32,19 +32,27 @@
 /// First and longest pause before another connection is tried.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 
-/// A call without an answer for this long means that the connection went
-/// silent.
+/// A call without an answer for this long means that the instance is slow, or
+/// cut off: syncs take a few ms, ways too.
+const SLOW_AFTER: Duration = Duration::from_millis(250);
+
+/// An instance that stayed slow for this long is connected anew.
 const SILENCE_MAX: Duration = Duration::from_millis(1_500);
 
-/// Time between two looks for silence.
-const SILENCE_CHECK: Duration = Duration::from_millis(500);
+/// Time between two looks for unanswered calls; a slow instance is also asked
+/// each time whether it is back.
+const SLOW_CHECK: Duration = Duration::from_millis(125);
+
+/// Number of calls whose answer only shows that the instance is back.
+const PING: u64 = 0;
 
 /// A link to one member; reconnects while it lives.
 #[derive(Debug)]
 pub(crate) struct Link {
     pub(crate) member: Member,
     is_up: AtomicBool,
-    is_slow: AtomicBool,
+    /// Since when the instance leaves calls without an answer.
+    slow_since: Mutex<Option<Instant>>,
     next: AtomicU64,
     calls: mpsc::Sender<Bytes>,
     pending: Mutex<HashMap<u64, Pending>>,
@@ -63,7 +71,7 @@
         let link = Link {
             member,
             is_up: AtomicBool::new(false),
-            is_slow: AtomicBool::new(false),
+            slow_since: Mutex::default(),
             next: AtomicU64::new(1),
             calls,
             pending: Mutex::default(),
@@ -76,24 +84,34 @@
         self.is_up.load(Ordering::Relaxed)
     }
 
-    /// Whether the instance left a call without an answer lately.
-    pub(crate) fn is_slow(&self) -> bool {
-        self.is_slow.load(Ordering::Relaxed)
+    /// Whether the instance is connected and answers in time.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.is_up() && lock(&self.slow_since).is_none()
     }
 
     /// Notes whether the instance answers in time.
-    pub(crate) fn set_slow(&self, is_slow: bool) {
-        self.is_slow.store(is_slow, Ordering::Relaxed);
+    fn set_slow(&self, is_slow: bool) {
+        let mut since = lock(&self.slow_since);
+        match (is_slow, *since) {
+            (true, None) => {
+                *since = Some(Instant::now());
+                log::info!("event=ledger_slow instance={}", self.member.instance);
+            }
+            (false, Some(at)) => {
+                *since = None;
+                let ms = at.elapsed().as_millis();
+                log::info!("event=ledger_answers instance={} slow_ms={ms}", self.member.instance);
+            }
+            _ => {}
+        }
     }
 
     /// Sends a call and waits for its answer; the caller limits the time.
     pub(crate) async fn call(&self, epoch: u64, ask: Ask) -> Result<Answer, LedgerError> {
         let (answer, answered) = oneshot::channel();
         let id = self.send(epoch, ask, Some(answer))?;
-        let guard = Forget { link: self, id };
-        let answer = answered.await.map_err(|_| LedgerError::Disconnected);
-        drop(guard);
-        answer
+        let _guard = Forget { link: self, id };
+        answered.await.map_err(|_| LedgerError::Disconnected)
     }
 
     /// Sends a call whose answer doesn't matter.
@@ -136,6 +154,7 @@
                     log::info!("event=ledger_connected instance={}", self.member.instance);
                     let ended = self.exchange(socket, &mut queued).await;
                     self.is_up.store(false, Ordering::Relaxed);
+                    *lock(&self.slow_since) = None;
                     lock(&self.pending).clear();
                     log::warn!(
                         "event=ledger_lost instance={} reason={:?}",
@@ -163,7 +182,7 @@
         let (reader, writer) = socket.into_split();
         let mut reader = FramedRead::new(reader, codec());
         let mut writer = FramedWrite::new(writer, codec());
-        let mut check = time::interval(SILENCE_CHECK);
+        let mut check = time::interval(SLOW_CHECK);
         loop {
             tokio::select! {
                 frame = reader.next() => match frame {
@@ -175,13 +194,19 @@
                     let writing = write_frames(&mut writer, call, queued);
                     time::timeout(SILENCE_MAX, writing).await??;
                 }
-                _ = check.tick() => self.check_silence()?,
+                _ = check.tick() => {
+                    if self.check_silence()? {
+                        let ping = self.encode_ping();
+                        time::timeout(SILENCE_MAX, writer.send(ping)).await??;
+                    }
+                }
             }
         }
     }
 
     fn take(&self, frame: &bytes::BytesMut) -> io::Result<()> {
         let reply: Reply = decode(frame).map_err(io::Error::other)?;
+        self.set_slow(false);
         if let Some(pending) = lock(&self.pending).remove(&reply.id) {
             // The caller may have stopped waiting.
             let _ = pending.answer.send(reply.answer);
@@ -189,13 +214,25 @@
         Ok(())
     }
 
-    fn check_silence(&self) -> io::Result<()> {
-        let pending = lock(&self.pending);
-        match pending.values().any(|pending| pending.since.elapsed() > SILENCE_MAX) {
-            true => Err(io::ErrorKind::TimedOut.into()),
-            false => Ok(()),
+    /// Whether the instance is slow; an error if it has been for too long.
+    fn check_silence(&self) -> io::Result<bool> {
+        let now = Instant::now();
+        let is_late = |pending: &Pending| now.duration_since(pending.since) > SLOW_AFTER;
+        if lock(&self.pending).values().any(is_late) {
+            self.set_slow(true);
+        }
+        match *lock(&self.slow_since) {
+            Some(since) if now.duration_since(since) > SILENCE_MAX => {
+                Err(io::ErrorKind::TimedOut.into())
+            }
+            since => Ok(since.is_some()),
         }
     }
+
+    fn encode_ping(&self) -> Bytes {
+        let disk = self.member.disk;
+        encode(&Request { id: PING, epoch: 0, disk, ask: Ask::Status })
+    }
 }
 
 /// Forgets a call whose caller went away.
@@ -206,6 +243,9 @@
 
 impl Drop for Forget<'_> {
     fn drop(&mut self) {
-        lock(&self.link.pending).remove(&self.id);
+        let left = lock(&self.link.pending).remove(&self.id);
+        if left.is_some_and(|pending| pending.since.elapsed() > SLOW_AFTER) {
+            self.link.set_slow(true);
+        }
     }
 }
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -206,11 +206,16 @@
         if !set.is_read(&sources) {
             return Err(pull::PullError::TooFew);
         }
+        let mut sealed = Vec::new();
+        encode_line(&Line::Epoch(set.epoch), &mut sealed);
+        if !self.write(sealed).await {
+            return Err(pull::PullError::Refused);
+        }
         *lock(&self.shared.copied) = Some(set.epoch);
         Ok(())
     }
 
-    /// Takes in copied lines and waits until they are on disk.
+    /// Takes in copied lines; they are on disk when a later write is.
     pub(crate) async fn take_lines(&self, lines: Vec<Line>) {
         let mut encoded = Vec::new();
         lines.iter().for_each(|line| encode_line(line, &mut encoded));
@@ -219,7 +224,9 @@
             let mut index = self.index();
             lines.into_iter().for_each(|line| index.apply(line, now));
         }
-        self.write(encoded).await;
+        let commit = Commit { encoded, done: None };
+        // Fails only when the instance stops.
+        let _ = self.shared.commits.send(commit).await;
     }
 
     fn index(&self) -> MutexGuard<'_, Index> {
@@ -396,7 +403,7 @@
         if request.disk != self.shared.disk {
             return Some(Answer::OtherDisk);
         }
-        if request.epoch < self.epoch() {
+        if request.epoch < self.epoch() && !matches!(request.ask, Ask::Status) {
             return Some(Answer::Stale(self.set()));
         }
         self.raise_epoch(request.epoch);
--- a/crates/gg-platform/src/follow.rs
+++ b/crates/gg-platform/src/follow.rs
@@ -57,6 +57,9 @@
                 news.into_iter().for_each(&mut take);
             }
             Err(err) => {
+                // A watch that broke off may have missed changes whose
+                // history is dropped a moment later; only a list is sure.
+                revision = None;
                 take(News::Lost(err));
                 let spread = rand::rng().random_range(0.5..1.5);
                 time::sleep(pause.mul_f64(spread)).await;
@@ -75,10 +78,26 @@
 ) -> Result<(Option<u64>, Option<News>), PlatformError> {
     let Some(revision) = revision else {
         let listed = directory.snapshot(kind).await?;
+        log::info!(
+            "event=directory_listed kind={} revision={} entries={}",
+            kind.as_str(),
+            listed.revision,
+            listed.entries.len()
+        );
         return Ok((Some(listed.revision), Some(News::Snapshot(listed.entries))));
     };
     match directory.changes(kind, revision, wait).await? {
-        Watched::HistoryGone => Ok((None, None)),
-        Watched::Changes(next, changes) => Ok((Some(next), Some(News::Changes(changes)))),
+        Watched::HistoryGone => {
+            log::info!("event=history_gone kind={} revision={revision}", kind.as_str());
+            Ok((None, None))
+        }
+        Watched::Changes(next, changes) => {
+            log::debug!(
+                "event=directory_changed kind={} revision={next} changes={}",
+                kind.as_str(),
+                changes.len()
+            );
+            Ok((Some(next), Some(News::Changes(changes))))
+        }
     }
 }
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -139,7 +139,7 @@
         folder: section.required("folder", "a folder on the disk").into(),
         tolerated: section.number("tolerated", 1, 0, 8),
         is_founding: section.flag("founding", false),
-        lost_after: section.millis("lost_after_ms", Duration::from_secs(3), 500, 600_000),
+        lost_after: section.millis("lost_after_ms", Duration::from_millis(1_200), 500, 600_000),
         checkpoint_bytes: section.number("checkpoint_bytes", 128 << 20, 1 << 20, 1 << 40),
     };
     section.finish();
