--- a/crates/gg-daemon/src/lib.rs
+++ b/crates/gg-daemon/src/lib.rs
@@ -23,4 +23,4 @@
 mod upkeep;
 
 pub use logs::init_logs;
-pub use node::{DaemonError, run, run_until_signal};
+pub use node::{DaemonError, run, run_until_signal, stop_on_signal};
--- a/crates/gg-daemon/src/logs.rs
+++ b/crates/gg-daemon/src/logs.rs
@@ -24,7 +24,8 @@
         .level_for("gg_journal", level)
         .level_for("gg_gateway", level)
         .level_for("gg_ledger", level)
-        .level_for("gg_platform", level);
+        .level_for("gg_platform", level)
+        .level_for("greengageforkd", level);
     let dispatch = match settings.file.is_empty() {
         true => dispatch.chain(io::stderr()),
         false => dispatch.chain(fern::log_file(&settings.file)?),
--- a/crates/gg-daemon/src/node.rs
+++ b/crates/gg-daemon/src/node.rs
@@ -47,7 +47,8 @@
     run(settings, stop).await
 }
 
-async fn stop_on_signal(stop: CancellationToken) {
+/// Cancels `stop` on SIGTERM or SIGINT.
+pub async fn stop_on_signal(stop: CancellationToken) {
     let (Ok(mut term), Ok(mut int)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
     else {
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -9,7 +9,6 @@
 use quick_error::quick_error;
 use tokio::{
     net::{TcpListener, TcpSocket},
-    signal::unix::{SignalKind, signal},
     time,
 };
 use tokio_util::sync::CancellationToken;
@@ -24,11 +23,6 @@
         Listen(address: SocketAddr, err: io::Error) {
             display("can't listen on {address}: {err}")
         }
-        /// Signals can't be received.
-        Signals(err: io::Error) {
-            from()
-            display("signals can't be received: {err}")
-        }
         /// The ledger can't run.
         Ledger(err: NodeError) {
             from()
@@ -47,13 +41,15 @@
 /// Time kept free between the last answer and the end of the grace period.
 const STOP_MARGIN: Duration = Duration::from_millis(600);
 
-/// Runs a gateway until SIGTERM or SIGINT; then stops it in order.
+/// Runs a gateway until `stopping` is cancelled; then stops it in order.
 pub async fn run_gateway<D: Deployment>(
     settings: GatewaySettings,
     deployment: D,
+    stopping: CancellationToken,
 ) -> Result<(), GatewayError> {
     let clients = listen(settings.clients)?;
     let ready = listen(settings.ready)?;
+    // Cancelled when nothing is under way any more.
     let stop = CancellationToken::new();
     let ledger = Ledger::new(settings.centre.clone(), stop.child_token());
     let state = Arc::new(State::new(deployment, settings.centre.clone(), ledger));
@@ -68,7 +64,7 @@
     let serving =
         tokio::spawn(ingress::serve_clients(clients, state.clone(), base, closed.clone()));
     log::info!("event=started role=gateway clients={}", settings.clients);
-    wait_for_stop().await?;
+    stopping.cancelled().await;
     log::info!("event=stopping");
     state.stop();
     time::sleep(NOT_READY_TIME).await;
@@ -81,12 +77,13 @@
     Ok(())
 }
 
-/// Runs a ledger instance until SIGTERM or SIGINT.
+/// Runs a ledger instance until `stop` is cancelled, or until its log can't be
+/// written any more.
 pub async fn run_ledger<D: Deployment>(
     settings: LedgerSettings,
     deployment: D,
+    stop: CancellationToken,
 ) -> Result<(), GatewayError> {
-    let stop = CancellationToken::new();
     let node = NodeSettings {
         listen: settings.listen,
         folder: settings.folder.clone(),
@@ -107,29 +104,11 @@
     };
     tokio::spawn(Keeper::new(keeper, deployment, node).run(stop.child_token()));
     log::info!("event=started role=ledger listen={}", settings.listen);
-    tokio::select! {
-        result = wait_for_stop() => result?,
-        () = stop.cancelled() => log::error!("event=ledger_failed"),
-    }
-    stop.cancel();
+    stop.cancelled().await;
     log::info!("event=stopped");
     Ok(())
 }
 
-/// Waits for SIGTERM or SIGINT. SIGHUP is taken note of.
-async fn wait_for_stop() -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => log::info!("event=reload result=settings_apply_at_start"),
-        }
-    }
-}
-
 fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
     let bind = || {
         let socket = TcpSocket::new_v4()?;
--- a/src/bin/greengageforkd.rs
+++ b/src/bin/greengageforkd.rs
@@ -4,11 +4,15 @@
 
 use argh::FromArgs;
 use gg_adapter::{Adapter, AdapterSettings};
-use gg_daemon::{init_logs, run_until_signal};
+use gg_daemon::{init_logs, run_until_signal, stop_on_signal};
 use gg_gateway::{run_gateway, run_ledger};
 use gg_settings::{DirectorySettings, LogSettings, SAMPLE, Settings};
 use mimalloc::MiMalloc;
-use tokio::runtime::Builder;
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+};
+use tokio_util::sync::CancellationToken;
 
 /// A request makes many short-lived pieces of JSON.
 #[global_allocator]
@@ -41,8 +45,12 @@
         print!("{SAMPLE}");
         return ExitCode::SUCCESS;
     }
-    match arguments.file.as_deref().and_then(load) {
-        Some(settings) => serve(settings),
+    let Some(file) = arguments.file else {
+        eprintln!("error: name a settings file, or --sample");
+        return ExitCode::from(EXIT_FAULTS);
+    };
+    match load(&file) {
+        Some(settings) => serve(settings, file),
         None => ExitCode::from(EXIT_FAULTS),
     }
 }
@@ -66,7 +74,8 @@
 }
 
 /// Runs the part that the settings name.
-fn serve(settings: Settings) -> ExitCode {
+fn serve(settings: Settings, file: String) -> ExitCode {
+    let loaded = settings.clone();
     match settings {
         Settings::Daemon(settings) => {
             let mut threads = Builder::new_multi_thread();
@@ -76,17 +85,55 @@
         }
         Settings::Gateway(settings, directory, log) => {
             let instance = settings.instance.clone();
-            let gateway = run_gateway(settings, adapter(directory));
+            let gateway = async move {
+                let stop = handle_signals(file, loaded);
+                run_gateway(settings, adapter(directory), stop).await
+            };
             run(Builder::new_current_thread(), &log, &instance, gateway)
         }
         Settings::Ledger(settings, directory, log) => {
             let instance = settings.instance.clone();
-            let ledger = run_ledger(settings, adapter(directory));
+            let ledger = async move {
+                let stop = handle_signals(file, loaded);
+                run_ledger(settings, adapter(directory), stop).await
+            };
             run(Builder::new_current_thread(), &log, &instance, ledger)
         }
     }
 }
 
+/// Starts the tasks that wait for signals; the result is cancelled on SIGTERM
+/// and SIGINT.
+fn handle_signals(file: String, loaded: Settings) -> CancellationToken {
+    let stop = CancellationToken::new();
+    tokio::spawn(stop_on_signal(stop.clone()));
+    tokio::spawn(reload_on_hangup(file, loaded));
+    stop
+}
+
+/// Reads the settings again on SIGHUP and says what comes of it. What is under
+/// way goes on; listeners and folders change at the next start.
+async fn reload_on_hangup(file: String, loaded: Settings) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(err) => {
+            log::error!("event=signals_failed error={err}");
+            return;
+        }
+    };
+    while hangup.recv().await.is_some() {
+        let result = match fs::read_to_string(&file) {
+            Err(err) => format!("unreadable error={err}"),
+            Ok(text) => match Settings::parse(&file, &text) {
+                Err(faults) => format!("faulty faults={:?}", faults.to_string()),
+                Ok(settings) if settings == loaded => "unchanged".into(),
+                Ok(_) => "changed, in force at the next start".into(),
+            },
+        };
+        log::info!("event=settings_read result={result}");
+    }
+}
+
 fn adapter(settings: DirectorySettings) -> Adapter {
     Adapter::new(AdapterSettings { address: settings.address, timeout: settings.timeout })
 }
