--- a/crates/gg-platform/src/follow.rs
+++ b/crates/gg-platform/src/follow.rs
@@ -12,6 +12,9 @@
 pub struct FollowSettings {
     /// Longest wait of one watch; each watch is a priced call.
     pub wait: Duration,
+    /// Pause after a watch that brought changes, so that changes that come
+    /// close together cost one call; bounds how late they are heard of.
+    pub gather: Duration,
     /// First pause after a failed call; doubles up to `pause_max`.
     pub pause: Duration,
     /// Longest pause between failed calls, which bounds how late the
@@ -23,6 +26,7 @@
     fn default() -> Self {
         FollowSettings {
             wait: Duration::from_secs(30),
+            gather: Duration::from_millis(250),
             pause: Duration::from_millis(50),
             pause_max: Duration::from_millis(500),
         }
@@ -54,7 +58,11 @@
             Ok((next, news)) => {
                 pause = settings.pause;
                 revision = next;
+                let has_changes = matches!(&news, Some(News::Changes(changes)) if !changes.is_empty());
                 news.into_iter().for_each(&mut take);
+                if has_changes {
+                    time::sleep(settings.gather).await;
+                }
             }
             Err(err) => {
                 // A watch that broke off may have missed changes whose
