--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use gg_ledger::SET_NAME;
+use gg_ledger::LAYOUT_NAME;
 use gg_platform::{Change, Entry, FollowSettings, Kind, News, follow};
 use gg_route::Deployment;
 use tokio::time;
@@ -91,10 +91,10 @@
 }
 
 fn take_ledgers<D: Deployment>(state: &State<D>, news: News) {
-    for entry in present(news).into_iter().filter(|entry| entry.name == SET_NAME) {
+    for entry in present(news).into_iter().filter(|entry| entry.name == LAYOUT_NAME) {
         match serde_json::from_slice(&entry.body) {
-            Ok(set) => state.ledger.set_members(set),
-            Err(err) => log::error!("event=set_unreadable error={err}"),
+            Ok(layout) => state.ledger.set_layout(layout),
+            Err(err) => log::error!("event=layout_unreadable error={err}"),
         }
     }
 }
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use gg_http::Limits;
-use gg_ledger::{Keeper, KeeperSettings, Ledger, Member, Node, NodeError, NodeSettings};
+use gg_ledger::{Keeper, KeeperSettings, Ledger, Member, Node, NodeError, NodeSettings, Patience};
 use gg_route::Deployment;
 use gg_settings::{GatewaySettings, LedgerSettings};
 use quick_error::quick_error;
@@ -100,9 +100,11 @@
         member,
         tolerated: settings.tolerated,
         is_founding: settings.is_founding,
-        lost_after: settings.lost_after,
+        founding_wait: settings.founding_wait,
+        patience: Patience { idle: settings.idle_patience, busy: settings.busy_patience },
     };
-    tokio::spawn(Keeper::new(keeper, deployment, node).run(stop.child_token()));
+    let keeper = Keeper::new(keeper, deployment, node, stop.child_token());
+    tokio::spawn(keeper.run(stop.child_token()));
     log::info!("event=started role=ledger listen={}", settings.listen);
     stop.cancelled().await;
     log::info!("event=stopped");
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -54,17 +54,16 @@
         Settle { state, job, events: 0, is_settled }
     }
 
-    /// Program and tokens handed to the client.
-    fn spent(&self) -> Option<gg_ledger::Settlement> {
-        let program = self.job.envelope.turn.program.clone()?;
-        Some((program, self.events * self.job.service.event_tokens))
+    /// Tokens handed to the client.
+    fn tokens(&self) -> u32 {
+        self.events * self.job.service.event_tokens
     }
 }
 
 impl<D: Deployment> Drop for Settle<D> {
     fn drop(&mut self) {
         if !self.is_settled {
-            self.state.ledger.settle(self.job.id(), self.spent());
+            self.state.ledger.settle(&self.job.turn_key(), self.tokens());
         }
     }
 }
@@ -79,6 +78,8 @@
     /// All bytes passed on, on routes that keep turns.
     passed: BytesMut,
     began: Instant,
+    /// History that is kept with another program, and now with this turn too.
+    foreign: Option<Bytes>,
     is_begun: bool,
     is_over: bool,
 }
@@ -90,6 +91,7 @@
         lease: Lease,
         headers: HeaderMap,
         began: Instant,
+        foreign: Option<Bytes>,
     ) -> Self {
         Relay {
             settle,
@@ -99,6 +101,7 @@
             headers,
             passed: BytesMut::new(),
             began,
+            foreign,
             is_begun: false,
             is_over: false,
         }
@@ -146,15 +149,19 @@
     async fn keep(&mut self) -> Result<(), RelayError> {
         let job = self.settle.job.clone();
         let Some(retention) = job.route.retention else { return Ok(()) };
+        let (previous, input) = match &self.foreign {
+            None => (job.envelope.turn.previous.clone(), job.body.clone()),
+            Some(history) => (None, [history.as_ref(), &job.body].concat().into()),
+        };
         let record = TurnRecord {
             turn: job.id().clone(),
-            previous: job.envelope.turn.previous.clone(),
-            text: turn_text(&job.body, &self.passed),
+            previous,
+            text: turn_text(&input, &self.passed),
             upstream: self.upstream.clone(),
             keep_ms: u32::try_from(retention.0.as_millis()).unwrap_or(u32::MAX),
         };
-        let spent = self.settle.spent();
-        let kept = self.settle.state.ledger.close(job.id(), spent, record).await;
+        let tokens = Some(self.settle.tokens());
+        let kept = self.settle.state.ledger.close(&job.turn_key(), tokens, record).await;
         kept.map_err(RelayError::Unkept)?;
         self.settle.is_settled = true;
         Ok(())
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
 use gg_ledger::{LedgerError, OpenRequest, Opened};
-use gg_protocol::{Code, Failure, Name};
+use gg_protocol::{Code, Failure};
 use gg_route::Deployment;
 use http::{Response, StatusCode};
 use http_body_util::{Either, Full, StreamBody};
@@ -64,7 +64,8 @@
         let (head, events) = sent.response.into_parts();
         let mut headers = head.headers.clone();
         strip_hop_headers(&mut headers);
-        let stream = relay(Relay::new(settle, events, sent.lease, head.headers, began));
+        let foreign = opened.is_foreign.then(|| opened.history.clone());
+        let stream = relay(Relay::new(settle, events, sent.lease, head.headers, began, foreign));
         let mut response = Response::new(Either::Right(StreamBody::new(stream)));
         *response.headers_mut() = headers;
         return Ok(response);
@@ -77,11 +78,8 @@
         return Ok(Opened::default());
     }
     let turn = &job.envelope.turn;
-    let request = OpenRequest {
-        turn: job.id().clone(),
-        previous: turn.previous.clone(),
-        budget: budget(job),
-    };
+    let request =
+        OpenRequest { key: job.turn_key(), previous: turn.previous.clone(), budget: budget(job) };
     match state.ledger.open(&request, job.deadline).await {
         Ok(opened) => Ok(opened),
         Err(LedgerError::NoSuchTurn) => {
@@ -94,11 +92,10 @@
     }
 }
 
-/// Program, budget and the most that this turn spends, on turns with one.
-fn budget(job: &Job) -> Option<(Name, u64, u32)> {
-    let turn = &job.envelope.turn;
+/// Budget and the most that this turn spends, on turns with one.
+fn budget(job: &Job) -> Option<(u64, u32)> {
     let most = u32::try_from(job.envelope.output_max).unwrap_or(u32::MAX);
-    Some((turn.program.clone()?, turn.budget?, most))
+    Some((job.envelope.turn.budget?, most))
 }
 
 /// The chain and the new input.
--- a/crates/gg-gateway/src/walk.rs
+++ b/crates/gg-gateway/src/walk.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use futures::Stream;
+use gg_ledger::TurnKey;
 use gg_protocol::{Code, Failure, Name};
 use gg_route::{Deployment, Envelope, Route, RouteKind, RouteTable, Service};
 use http::{Request, Response, header, request::Parts};
@@ -39,6 +40,11 @@
         &self.envelope.request
     }
 
+    /// The request as a turn of the ledger.
+    pub(crate) fn turn_key(&self) -> TurnKey {
+        TurnKey { turn: self.id().clone(), program: self.envelope.turn.program.clone() }
+    }
+
     pub(crate) fn tries(&self) -> Tries {
         Tries::new(self.route.kind, self.route.attempts)
     }
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -1,7 +1,8 @@
 //! The ledger as its users see it: opens and closes turns on enough
-//! instances of the present set.
+//! instances of a partition's present set.
 
 use std::{
+    collections::HashMap,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -9,13 +10,14 @@
 use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream::FuturesUnordered};
 use gg_protocol::Name;
-use indexmap::IndexMap;
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    LedgerError, LedgerSet, TurnRecord,
-    link::Link,
+    Chain, Layout, LedgerError, LedgerSet, TurnRecord,
+    index::Spent,
+    link::{Link, Scope},
+    links::Links,
     node::lock,
     protocol::{Answer, Ask},
 };
@@ -30,9 +32,13 @@
 /// Longest wait for enough disks to hold a finished turn.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Wait for the nearest instance's chain after enough others have answered;
-/// then the chain is read from another one.
-const NEAREST_PATIENCE: Duration = Duration::from_millis(40);
+/// Wait for the members that are asked first; then the others are asked too.
+/// A way and a sync take 10 ms.
+const FIRST_PATIENCE: Duration = Duration::from_millis(40);
+
+/// When a budget holds fewer turns than this, the accounts of all members are
+/// put together before a turn is let through or refused.
+const EXACT_TURNS: u64 = 3;
 
 /// Pause between two looks whether enough members are connected.
 const CONNECT_PAUSE: Duration = Duration::from_millis(20);
@@ -40,15 +46,25 @@
 /// Pause before the members are asked again after a failed round.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 
-/// A turn to open.
+/// A turn, by its request, and the program whose partition it belongs to. A
+/// turn without a program is its own.
 #[derive(Clone, Debug)]
-pub struct OpenRequest {
+pub struct TurnKey {
     /// Request that the turn is.
     pub turn: Name,
+    /// Program.
+    pub program: Option<Name>,
+}
+
+/// A turn to open.
+#[derive(Clone, Debug)]
+pub struct OpenRequest {
+    /// The turn.
+    pub key: TurnKey,
     /// Turn that it continues.
     pub previous: Option<Name>,
-    /// Program, its budget in tokens, and the most that this turn spends.
-    pub budget: Option<(Name, u64, u32)>,
+    /// Budget of the program in tokens, and the most that this turn spends.
+    pub budget: Option<(u64, u32)>,
 }
 
 /// An opened turn.
@@ -58,112 +74,126 @@
     pub history: Bytes,
     /// Replica that ran the turn before.
     pub upstream: Option<Name>,
+    /// The chain, or its beginning, is kept with another program. A turn that
+    /// continues it keeps the whole history itself.
+    pub is_foreign: bool,
 }
 
-/// Tokens that a turn has spent, of a program.
-pub type Settlement = (Name, u32);
-
 /// Client of the ledger.
 #[derive(Debug)]
 pub struct Ledger {
     centre: Name,
     state: Mutex<State>,
-    stop: CancellationToken,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
-    set: LedgerSet,
-    links: IndexMap<u64, (Arc<Link>, CancellationToken)>,
+    layout: Arc<Layout>,
+    links: Links,
 }
 
-/// The set and the links to all of its members at one moment.
+/// A partition's set and the links to its members at one moment.
 #[derive(Clone, Debug)]
 struct View {
+    scope: Scope,
     set: LedgerSet,
+    /// Links to present and next members, those that are asked first before
+    /// the others.
     links: Vec<Arc<Link>>,
+    /// How many of the links are asked first.
+    first: usize,
 }
 
 impl View {
-    /// Whether enough members answer to open and close turns.
     fn is_usable(&self) -> bool {
         let usable = self.links.iter().filter(|link| link.is_usable());
         let usable: Vec<u64> = usable.map(|link| link.member.disk).collect();
-        !self.set.members.is_empty() && self.set.is_read(&usable) && self.set.is_written(&usable)
+        self.is_enough(&usable)
+    }
+
+    /// Whether a turn that is opened by these has seen and is seen by all.
+    fn is_enough(&self, disks: &[u64]) -> bool {
+        self.set.is_read(disks) && self.set.is_written(disks)
     }
 }
 
 impl Ledger {
     /// A client without members; its links end when `stop` is cancelled.
     pub fn new(centre: Name, stop: CancellationToken) -> Self {
-        Ledger { centre, state: Mutex::default(), stop }
+        let state = State { layout: Arc::default(), links: Links::new(None, stop) };
+        Ledger { centre, state: Mutex::new(state) }
     }
 
-    /// Takes in a set; an older one changes nothing.
-    pub fn set_members(&self, set: LedgerSet) {
+    /// Takes in a layout; one that is newer in no partition changes nothing.
+    pub fn set_layout(&self, layout: Layout) {
         let mut state = lock(&self.state);
-        if set.epoch <= state.set.epoch {
+        if state.layout.covers(&layout) {
             return;
         }
+        let epochs: Vec<String> =
+            layout.partitions.iter().map(|set| set.epoch.to_string()).collect();
         log::info!(
-            "event=ledger_set epoch={} members={} next={}",
-            set.epoch,
-            names(&set.members),
-            names(set.next.as_deref().unwrap_or_default())
+            "event=ledger_layout epochs={} members={} changing={}",
+            epochs.join(","),
+            layout.members().len(),
+            layout.partitions.iter().filter(|set| set.next.is_some()).count()
         );
-        let wanted: Vec<_> = set.all().into_iter().cloned().collect();
-        state.links.retain(|disk, (link, stop)| {
-            let stays = wanted.iter().any(|member| member.disk == *disk && *member == link.member);
-            if !stays {
-                stop.cancel();
-            }
-            stays
-        });
-        for member in wanted {
-            if state.links.contains_key(&member.disk) {
-                continue;
-            }
-            let disk = member.disk;
-            let (link, queued) = Link::new(member);
-            let link = Arc::new(link);
-            let stop = self.stop.child_token();
-            let (running, stopped) = (link.clone(), stop.clone());
-            tokio::spawn(async move { stopped.run_until_cancelled(running.run(queued)).await });
-            state.links.insert(disk, (link, stop));
-        }
-        state.set = set;
+        state.links.keep(&layout.members());
+        state.layout = Arc::new(layout);
     }
 
-    /// Whether enough members are connected to open and close turns.
+    /// Whether enough members of every partition answer.
     pub fn is_ready(&self) -> bool {
-        self.view().is_usable()
+        let count = lock(&self.state).layout.partitions.len();
+        count > 0 && (0..count).all(|partition| self.view(partition as u16).is_usable())
     }
 
-    /// Epoch of the set.
-    pub fn epoch(&self) -> u64 {
-        lock(&self.state).set.epoch
+    fn partition(&self, key: &TurnKey) -> u16 {
+        lock(&self.state).layout.partition(key.program.as_ref().unwrap_or(&key.turn))
     }
 
-    fn view(&self) -> View {
+    /// The set of a partition. One member in each data centre is asked first,
+    /// and more if these are too few; the others only if those stay silent.
+    fn view(&self, partition: u16) -> View {
         let state = lock(&self.state);
-        let links = state.links.values().map(|(link, _)| link.clone()).collect();
-        View { set: state.set.clone(), links }
+        let set = state.layout.partitions.get(usize::from(partition)).cloned().unwrap_or_default();
+        let mut links: Vec<Arc<Link>> = Vec::new();
+        let mut others: Vec<Arc<Link>> = Vec::new();
+        let all = set.all();
+        let known = all.iter().filter_map(|member| state.links.get(member.disk));
+        for link in known {
+            let is_covered = links.iter().any(|first| first.member.centre == link.member.centre);
+            match link.is_usable() && !is_covered {
+                true => links.push(link.clone()),
+                false => others.push(link.clone()),
+            }
+        }
+        others.sort_by_key(|link| !link.is_usable());
+        let enough = set.write_quorum(set.members.len()).max(set.read_quorum(set.members.len()));
+        let first = if set.next.is_some() { all.len() } else { links.len().max(enough) };
+        links.append(&mut others);
+        let first = first.min(links.len());
+        View { scope: Scope { partition, epoch: set.epoch }, set, links, first }
     }
 
     /// Sets tokens aside for a turn and reads the chain that it continues.
     pub async fn open(&self, request: &OpenRequest, limit: Instant) -> Result<Opened, LedgerError> {
+        if request.budget.is_none() && request.previous.is_none() {
+            return Ok(Opened::default());
+        }
         let limit = limit.min(Instant::now() + OPEN_TIMEOUT);
         let mut last = LedgerError::Unavailable("too few members connected");
         let patience = Instant::now() + CONNECT_PATIENCE;
         while Instant::now() < limit {
-            if !self.is_ready() {
+            let view = self.view(self.partition(&request.key));
+            if !view.is_usable() {
                 if Instant::now() >= patience {
                     break;
                 }
                 time::sleep(CONNECT_PAUSE).await;
                 continue;
             }
-            match time::timeout_at(limit, self.try_open(request)).await {
+            match time::timeout_at(limit, self.try_open(&view, request)).await {
                 Err(_) => last = LedgerError::Unavailable("too few answers in time"),
                 Ok(Err(LedgerError::Unavailable(text))) => last = LedgerError::Unavailable(text),
                 Ok(result) => return result,
@@ -173,66 +203,108 @@
         Err(last)
     }
 
-    async fn try_open(&self, request: &OpenRequest) -> Result<Opened, LedgerError> {
-        let view = self.view();
-        let nearest = self.nearest(&view).ok_or(LedgerError::Unavailable("no member connected"))?;
-        if request.budget.is_none() && request.previous.is_none() {
-            return Ok(Opened::default());
+    async fn try_open(&self, view: &View, request: &OpenRequest) -> Result<Opened, LedgerError> {
+        let (most, chain) = self.reserve(view, request).await?;
+        if let (Some(program), Some((budget, tokens))) = (&request.key.program, request.budget) {
+            let tokens = u64::from(tokens);
+            // One member may have missed what another one knows.
+            let is_close = most + EXACT_TURNS * tokens > budget;
+            let spent =
+                if is_close { self.spent(view, program, &request.key.turn).await? } else { most };
+            if spent + tokens > budget {
+                self.settle(&request.key, 0);
+                return Err(LedgerError::BudgetSpent(spent));
+            }
         }
-        let reserve = request.budget.as_ref().map(|(program, _, most)| (program.clone(), *most));
-        let mut calls: FuturesUnordered<_> = view
-            .links
-            .iter()
-            .filter(|link| link.is_up())
-            .map(|link| {
-                let chain = (link.member.disk == nearest).then(|| request.previous.clone());
-                let ask = Ask::Open {
-                    turn: request.turn.clone(),
-                    reserve: reserve.clone(),
-                    chain: chain.flatten(),
-                };
-                let epoch = view.set.epoch;
-                async move { (link, link.call(epoch, ask).await) }
-            })
-            .collect();
+        match &request.previous {
+            None => Ok(Opened::default()),
+            Some(previous) => self.history(view, previous, chain).await,
+        }
+    }
+
+    /// Sets the tokens aside on enough members; returns the most that others
+    /// hold, and the chain if the nearest member has answered.
+    async fn reserve(
+        &self,
+        view: &View,
+        request: &OpenRequest,
+    ) -> Result<(u64, Option<Chain>), LedgerError> {
+        let nearest = self.nearest(view).ok_or(LedgerError::Unavailable("no member connected"))?;
+        let program = request.key.program.clone();
+        let reserve = program.zip(request.budget.map(|(_, tokens)| tokens));
+        let ask = |link: &Link| Ask::Open {
+            turn: request.key.turn.clone(),
+            reserve: reserve.clone(),
+            chain: request.previous.clone().filter(|_| link.member.disk == nearest),
+        };
+        let (first, others) = view.links.split_at(view.first);
+        let call =
+            async |link: &Arc<Link>, ask: Ask| (link.member.disk, link.call(view.scope, ask).await);
+        let mut calls: FuturesUnordered<_> =
+            first.iter().map(|link| call(link, ask(link))).collect();
+        let mut others = Some(others);
         let mut answered = Vec::new();
         let mut most = 0;
         let mut chain = None;
-        let mut patience = None;
         loop {
-            let enough = view.set.is_read(&answered) && view.set.is_written(&answered);
-            if enough && (request.previous.is_none() || chain.is_some()) {
+            let is_enough = view.is_enough(&answered);
+            if is_enough && (request.previous.is_none() || chain.is_some()) {
                 break;
             }
-            if enough {
-                patience.get_or_insert_with(|| Instant::now() + NEAREST_PATIENCE);
-            }
-            let limit = patience.unwrap_or_else(|| Instant::now() + OPEN_TIMEOUT);
-            let Ok(next) = time::timeout_at(limit, calls.next()).await else { break };
-            let Some((link, answer)) = next else { break };
-            match answer {
-                Ok(Answer::Opened { others, chain: found }) => {
-                    answered.push(link.member.disk);
+            match time::timeout(FIRST_PATIENCE, calls.next()).await {
+                Ok(Some((disk, Ok(Answer::Opened { others, chain: found })))) => {
+                    answered.push(disk);
                     most = others.max(most);
                     chain = chain.or(found);
                 }
-                Ok(other) => self.take_refusal(link, other),
-                Err(_) => {}
+                Ok(Some((disk, Ok(other)))) => self.take_refusal(disk, other),
+                Ok(Some((_, Err(_)))) => {}
+                // Enough hold it; the chain is read from another member.
+                Ok(None) | Err(_) if is_enough => break,
+                Ok(None) | Err(_) => match others.take() {
+                    Some(others) => calls.extend(others.iter().map(|link| call(link, ask(link)))),
+                    None if calls.is_empty() => break,
+                    None => {}
+                },
             }
         }
-        drop(calls);
-        if !(view.set.is_read(&answered) && view.set.is_written(&answered)) {
-            return Err(LedgerError::Unavailable("too few members answered"));
+        match view.is_enough(&answered) {
+            true => Ok((most, chain)),
+            false => Err(LedgerError::Unavailable("too few members answered")),
         }
-        if let Some((program, budget, tokens)) = &request.budget
-            && most + u64::from(*tokens) > *budget
-        {
-            let settle = Some((program.clone(), 0));
-            self.tell(Ask::Close { turn: request.turn.clone(), settle, record: None });
-            return Err(LedgerError::BudgetSpent(most));
+    }
+
+    /// Exactly what the turns of a program other than `turn` spent or set
+    /// aside: an end that any member knows of counts.
+    async fn spent(&self, view: &View, program: &Name, turn: &Name) -> Result<u64, LedgerError> {
+        let mut calls: FuturesUnordered<_> = view
+            .links
+            .iter()
+            .filter(|link| link.is_usable())
+            .map(async |link| {
+                (link.member.disk, link.call(view.scope, Ask::Account(program.clone())).await)
+            })
+            .collect();
+        let mut answered = Vec::new();
+        let mut turns: HashMap<Name, Spent> = HashMap::new();
+        while !view.set.is_read(&answered) {
+            match calls.next().await {
+                Some((disk, Ok(Answer::Account(spent)))) => {
+                    answered.push(disk);
+                    for one in spent {
+                        let known = turns.entry(one.turn.clone()).or_insert_with(|| one.clone());
+                        if one.is_settled && !known.is_settled {
+                            *known = one;
+                        }
+                    }
+                }
+                Some((disk, Ok(other))) => self.take_refusal(disk, other),
+                Some((_, Err(_))) => {}
+                None => return Err(LedgerError::Unavailable("too few members know the account")),
+            }
         }
-        let Some(previous) = &request.previous else { return Ok(Opened::default()) };
-        self.history(&view, previous, chain).await
+        turns.remove(turn);
+        Ok(turns.values().map(|one| u64::from(one.tokens)).sum())
     }
 
     /// Completes a chain that one member knows in part, or not at all.
@@ -240,17 +312,24 @@
         &self,
         view: &View,
         previous: &Name,
-        found: Option<crate::Chain>,
+        found: Option<Chain>,
     ) -> Result<Opened, LedgerError> {
         let mut upstream = found.as_ref().and_then(|chain| chain.upstream.clone());
         let mut missing = Some(previous.clone());
         let mut parts = Vec::new();
+        let mut is_foreign = false;
         if let Some(chain) = found {
             missing = chain.missing;
             parts.push(chain.text);
         }
         while let Some(turn) = missing.take() {
-            let chain = self.fetch(view, &turn).await?;
+            let chain = match self.fetch(view, &turn).await {
+                Err(LedgerError::NoSuchTurn) => {
+                    is_foreign = true;
+                    self.find(&turn).await?
+                }
+                fetched => fetched?,
+            };
             upstream = upstream.or(chain.upstream);
             parts.push(chain.text);
             missing = chain.missing;
@@ -263,28 +342,56 @@
                 whole.freeze()
             }
         };
-        Ok(Opened { history, upstream })
+        Ok(Opened { history, upstream, is_foreign })
     }
 
     /// Reads a chain from whichever member knows its last turn.
-    async fn fetch(&self, view: &View, turn: &Name) -> Result<crate::Chain, LedgerError> {
-        let mut calls: FuturesUnordered<_> = view
-            .links
-            .iter()
-            .filter(|link| link.is_up())
-            .map(async |link| (link, link.call(view.set.epoch, Ask::Fetch(turn.clone())).await))
-            .collect();
+    async fn fetch(&self, view: &View, turn: &Name) -> Result<Chain, LedgerError> {
+        let calls = view.links.iter().filter(|link| link.is_up()).map(async |link| {
+            let answer = link.call(view.scope, Ask::Fetch(turn.clone())).await;
+            (link.member.disk, answer)
+        });
+        self.first_chain(calls, turn, |denied| view.set.is_read(denied)).await
+    }
+
+    /// Reads a chain from whichever partition knows its last turn.
+    async fn find(&self, turn: &Name) -> Result<Chain, LedgerError> {
+        let (layout, links) = {
+            let state = lock(&self.state);
+            let links: Vec<_> = state.links.all().filter(|link| link.is_up()).cloned().collect();
+            (state.layout.clone(), links)
+        };
+        let epochs: Vec<u64> = layout.partitions.iter().map(|set| set.epoch).collect();
+        let calls = links.iter().map(async |link| {
+            let ask = Ask::Find { turn: turn.clone(), epochs: epochs.clone() };
+            (link.member.disk, link.call(Scope { partition: 0, epoch: 0 }, ask).await)
+        });
+        let is_certain = |denied: &[u64]| layout.partitions.iter().all(|set| set.is_read(denied));
+        self.first_chain(calls, turn, is_certain).await
+    }
+
+    /// The first answer that has the turn; none if enough deny it.
+    async fn first_chain<F>(
+        &self,
+        calls: impl Iterator<Item = F>,
+        turn: &Name,
+        is_certain: impl Fn(&[u64]) -> bool,
+    ) -> Result<Chain, LedgerError>
+    where
+        F: Future<Output = (u64, Result<Answer, LedgerError>)>,
+    {
+        let mut calls: FuturesUnordered<F> = calls.collect();
         let mut denied = Vec::new();
-        while let Some((link, answer)) = calls.next().await {
+        while let Some((disk, answer)) = calls.next().await {
             match answer {
                 Ok(Answer::Fetched(chain)) if chain.missing.as_ref() != Some(turn) => {
                     return Ok(chain);
                 }
-                Ok(Answer::Fetched(_)) => denied.push(link.member.disk),
-                Ok(other) => self.take_refusal(link, other),
+                Ok(Answer::Fetched(_)) => denied.push(disk),
+                Ok(other) => self.take_refusal(disk, other),
                 Err(_) => {}
             }
-            if view.set.is_read(&denied) {
+            if is_certain(&denied) {
                 return Err(LedgerError::NoSuchTurn);
             }
         }
@@ -292,23 +399,28 @@
     }
 
     /// Tells what a turn has spent that did not finish whole.
-    pub fn settle(&self, turn: &Name, settle: Option<Settlement>) {
-        if settle.is_some() {
-            self.tell(Ask::Close { turn: turn.clone(), settle, record: None });
-        }
+    pub fn settle(&self, key: &TurnKey, tokens: u32) {
+        let Some(program) = key.program.clone() else { return };
+        let view = self.view(self.partition(key));
+        let settle = Some((program, tokens));
+        let ask = Ask::Close { turn: key.turn.clone(), settle, record: None };
+        view.links.iter().for_each(|link| link.tell(view.scope, ask.clone()));
     }
 
-    /// Ends a finished turn; returns when enough disks hold it.
+    /// Ends a finished turn, `tokens` of its program spent if it has a
+    /// budget; returns when enough disks hold it.
     pub async fn close(
         &self,
-        turn: &Name,
-        settle: Option<Settlement>,
+        key: &TurnKey,
+        tokens: Option<u32>,
         record: TurnRecord,
     ) -> Result<(), LedgerError> {
-        let ask = Ask::Close { turn: turn.clone(), settle, record: Some(record) };
+        let settle = key.program.clone().zip(tokens);
+        let ask = Ask::Close { turn: key.turn.clone(), settle, record: Some(record) };
         let limit = Instant::now() + CLOSE_TIMEOUT;
         while Instant::now() < limit {
-            if let Ok(true) = time::timeout_at(limit, self.try_close(&ask)).await {
+            let view = self.view(self.partition(key));
+            if let Ok(true) = time::timeout_at(limit, self.try_close(&view, &ask)).await {
                 return Ok(());
             }
             time::sleep(ROUND_PAUSE).await;
@@ -316,56 +428,43 @@
         Err(LedgerError::Unavailable("too few disks hold the turn"))
     }
 
-    async fn try_close(&self, ask: &Ask) -> bool {
-        let view = self.view();
-        let mut calls: FuturesUnordered<_> = view
-            .links
-            .iter()
-            .filter(|link| link.is_up())
-            .map(async |link| (link, link.call(view.set.epoch, ask.clone()).await))
-            .collect();
+    async fn try_close(&self, view: &View, ask: &Ask) -> bool {
+        let call =
+            async |link: &Arc<Link>| (link.member.disk, link.call(view.scope, ask.clone()).await);
+        let (first, others) = view.links.split_at(view.first);
+        let mut calls: FuturesUnordered<_> = first.iter().map(call).collect();
+        let mut others = Some(others);
         let mut holders = Vec::new();
-        while let Some((link, answer)) = calls.next().await {
-            match answer {
-                Ok(Answer::Closed) => holders.push(link.member.disk),
-                Ok(other) => self.take_refusal(link, other),
-                Err(_) => {}
-            }
-            if view.set.is_written(&holders) {
-                // The others hold it soon; their answers are not awaited.
-                return true;
+        while !view.set.is_written(&holders) {
+            match time::timeout(FIRST_PATIENCE, calls.next()).await {
+                Ok(Some((disk, Ok(Answer::Closed)))) => holders.push(disk),
+                Ok(Some((disk, Ok(other)))) => self.take_refusal(disk, other),
+                Ok(Some((_, Err(_)))) => {}
+                Ok(None) | Err(_) => match others.take() {
+                    Some(others) => calls.extend(others.iter().map(call)),
+                    None if calls.is_empty() => return false,
+                    None => {}
+                },
             }
         }
-        false
+        // The rest hold it soon; their answers are not awaited.
+        true
     }
 
-    /// Tells all members something whose answer doesn't matter.
-    fn tell(&self, ask: Ask) {
-        let view = self.view();
-        view.links.iter().for_each(|link| link.tell(view.set.epoch, ask.clone()));
-    }
-
-    fn take_refusal(&self, link: &Link, answer: Answer) {
+    fn take_refusal(&self, disk: u64, answer: Answer) {
         match answer {
-            Answer::Stale(set) => self.set_members(set),
-            other => log::warn!(
-                "event=ledger_refused instance={} answer={other:?}",
-                link.member.instance
-            ),
+            Answer::Stale(layout) => self.set_layout(layout),
+            other => log::warn!("event=ledger_refused disk={disk} answer={other:?}"),
         }
     }
 
     /// The member that chains are read from: in the same data centre if one
-    /// is connected there, else any.
+    /// answers there, else any that is asked first.
     fn nearest(&self, view: &View) -> Option<u64> {
-        let present = view.links.iter().filter(|link| view.set.has(link.member.disk));
-        let best = present.filter(|link| link.is_up()).min_by_key(|link| {
+        let first = view.links[..view.first].iter().filter(|link| view.set.has(link.member.disk));
+        let best = first.filter(|link| link.is_up()).min_by_key(|link| {
             (!link.is_usable(), link.member.centre != self.centre, link.member.disk)
         })?;
         Some(best.member.disk)
     }
 }
-
-fn names(members: &[crate::Member]) -> String {
-    members.iter().map(|member| &*member.instance).collect::<Vec<_>>().join(",")
-}
--- a/crates/gg-ledger/src/entry.rs
+++ b/crates/gg-ledger/src/entry.rs
@@ -43,6 +43,11 @@
     },
     /// A finished turn.
     Turn(TurnRecord),
+    /// The partition was given up; earlier lines of it don't count.
+    Forget,
     /// Nothing of an older epoch is acknowledged after this line.
     Epoch(u64),
 }
+
+/// A line and the partition that it belongs to.
+pub type Placed = (u16, Line);
--- a/crates/gg-ledger/src/index.rs
+++ b/crates/gg-ledger/src/index.rs
@@ -23,6 +23,15 @@
     pub upstream: Option<Name>,
 }
 
+/// What one turn spent or set aside.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Spent {
+    pub(crate) turn: Name,
+    pub(crate) tokens: u32,
+    /// The turn has ended; else the tokens are set aside.
+    pub(crate) is_settled: bool,
+}
+
 /// Tokens of one turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Spend {
@@ -64,20 +73,20 @@
     pub fn apply(&mut self, line: Line, now: Instant) {
         match line {
             Line::Reserve { program, turn, tokens } => {
-                self.account(program, now).reserve(turn, tokens);
+                self.open_account(program, now).reserve(turn, tokens);
             }
             Line::Settle { program, turn, tokens } => {
-                self.account(program, now).settle(turn, tokens);
+                self.open_account(program, now).settle(turn, tokens);
             }
             Line::Turn(record) => {
                 self.keep = self.keep.max(Duration::from_millis(record.keep_ms.into()));
                 self.turns.insert(record.turn.clone(), Kept { record, used: now });
             }
-            Line::Epoch(_) => {}
+            Line::Epoch(_) | Line::Forget => {}
         }
     }
 
-    fn account(&mut self, program: Name, now: Instant) -> &mut Account {
+    fn open_account(&mut self, program: Name, now: Instant) -> &mut Account {
         let empty = || Account { turns: HashMap::new(), total: 0, used: now };
         let account = self.accounts.entry(program).or_insert_with(empty);
         account.used = now;
@@ -91,6 +100,19 @@
         account.total - account.turns.get(turn).map_or(0, |spend| spend.tokens())
     }
 
+    /// What each turn of a program spent or set aside.
+    pub(crate) fn account(&self, program: &str) -> Vec<Spent> {
+        let turns = self.accounts.get(program).into_iter().flat_map(|account| &account.turns);
+        let spent = turns.map(|(turn, spend)| {
+            let (tokens, is_settled) = match *spend {
+                Spend::Reserved(tokens) => (tokens, false),
+                Spend::Settled(tokens) => (tokens, true),
+            };
+            Spent { turn: turn.clone(), tokens, is_settled }
+        });
+        spent.collect()
+    }
+
     /// The chain that ends with `turn`; all of its turns count as used.
     pub fn chain(&mut self, turn: &Name, now: Instant) -> Chain {
         let mut texts = Vec::new();
--- a/crates/gg-ledger/src/keeper.rs
+++ b/crates/gg-ledger/src/keeper.rs
@@ -1,30 +1,28 @@
-//! Keeps an instance registered and the set of members complete: founds the
-//! set, takes the place of lost members, and empties instances.
+//! Keeps an instance registered and the layout whole: founds it, takes the
+//! place of lost members, and empties instances.
 
 use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{Mutex, MutexGuard},
     time::{Duration, Instant, SystemTime},
 };
 
 use bytes::Bytes;
-use futures::future::join_all;
 use gg_platform::{Change, Entry, FollowSettings, Kind, News, PlatformError, follow};
 use gg_protocol::Name;
 use gg_route::Deployment;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::{sync::Notify, time};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    LedgerSet, Member, Node, Registration, SET_NAME,
+    LAYOUT_NAME, Layout, LedgerSet, Member, Node, Patience, Plan, Registration,
+    link::Scope,
+    links::Links,
     node::lock,
     protocol::{Answer, Ask},
-    pull,
-    set::Plan,
 };
 
-/// How an instance takes part in the set.
+/// How an instance takes part.
 #[derive(Clone, Debug)]
 pub struct KeeperSettings {
     /// This instance, as others reach it.
@@ -33,54 +31,56 @@
     pub tolerated: usize,
     /// Whether the whole deployment starts for the first time.
     pub is_founding: bool,
-    /// Time without an answer after which a member may be replaced.
-    pub lost_after: Duration,
+    /// Wait for all instances to register before a layout is founded with
+    /// those that are there.
+    pub founding_wait: Duration,
+    /// When silent members are replaced.
+    pub patience: Patience,
 }
 
-/// Time between two looks at the set while nothing changes.
+/// Time between two looks while nothing changes, and between two heartbeats.
 const LOOK_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Wait for all instances to register before a set is founded with fewer.
-const FOUNDING_WAIT: Duration = Duration::from_secs(3);
+/// Longest wait for another instance's status.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A change is given up when a newcomer is silent this many times longer than
 /// a member that is replaced: until then it costs little.
 const ABANDON_FACTOR: u32 = 4;
 
-/// Longest wait for another instance's status.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Keeps one instance in the set.
+/// Keeps one instance in the layout.
 #[derive(Debug)]
 pub struct Keeper<D> {
     settings: KeeperSettings,
     directory: D,
     node: Node,
-    known: Arc<Mutex<Known>>,
-    changed: Arc<Notify>,
+    known: Mutex<Known>,
+    links: Mutex<Links>,
+    changed: Notify,
 }
 
 /// The directory as last heard of.
 #[derive(Debug, Default)]
 struct Known {
-    set: Option<(u64, LedgerSet)>,
+    layout: Option<(u64, Layout)>,
     registered: IndexMap<Name, Registration>,
-    /// Instances to be emptied, and whether the end was told.
-    leaving: IndexMap<Name, Told>,
-    listed: bool,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Told {
-    Nothing,
-    Running,
-    Finished,
+    /// Instances that are to be emptied.
+    leaving: IndexSet<Name>,
+    /// What the operators were told of this instance's emptying.
+    told: Option<bool>,
+    is_listed: bool,
 }
 
 impl<D: Deployment> Keeper<D> {
-    /// A keeper of `node`.
-    pub fn new(settings: KeeperSettings, directory: D, node: Node) -> Self {
-        Keeper { settings, directory, node, known: Arc::default(), changed: Arc::default() }
+    /// A keeper of `node`; its links end when `stop` is cancelled.
+    pub fn new(
+        settings: KeeperSettings,
+        directory: D,
+        node: Node,
+        stop: CancellationToken,
+    ) -> Self {
+        let links = Mutex::new(Links::new(Some(LOOK_INTERVAL), stop));
+        Keeper { settings, directory, node, known: Mutex::default(), links, changed: Notify::new() }
     }
 
     /// Runs until `stop` is cancelled.
@@ -91,13 +91,17 @@
         stop.run_until_cancelled(work).await;
     }
 
+    fn known(&self) -> MutexGuard<'_, Known> {
+        lock(&self.known)
+    }
+
     async fn follow_ledgers(&self) {
         follow(&self.directory, Kind::Ledgers, FollowSettings::default(), |news| {
-            let mut known = lock(&self.known);
+            let mut known = self.known();
             match news {
                 News::Snapshot(entries) => {
                     known.registered.clear();
-                    known.listed = true;
+                    known.is_listed = true;
                     entries.iter().for_each(|entry| self.take(&mut known, entry));
                 }
                 News::Changes(changes) => {
@@ -118,13 +122,13 @@
     }
 
     fn take(&self, known: &mut Known, entry: &Entry) {
-        if entry.name == SET_NAME {
-            match serde_json::from_slice::<LedgerSet>(&entry.body) {
-                Ok(set) => {
-                    self.node.set_newer(set.clone());
-                    known.set = Some((entry.revision, set));
+        if entry.name == LAYOUT_NAME {
+            match serde_json::from_slice::<Layout>(&entry.body) {
+                Ok(layout) => {
+                    self.node.set_layout(layout.clone());
+                    known.layout = Some((entry.revision, layout));
                 }
-                Err(err) => log::error!("event=set_unreadable error={err}"),
+                Err(err) => log::error!("event=layout_unreadable error={err}"),
             }
             return;
         }
@@ -138,100 +142,87 @@
 
     async fn follow_removals(&self) {
         follow(&self.directory, Kind::Removals, FollowSettings::default(), |news| {
-            let mut known = lock(&self.known);
-            let names: Vec<String> = match news {
-                News::Snapshot(entries) => entries.into_iter().map(|entry| entry.name).collect(),
-                News::Changes(changes) => changes
-                    .into_iter()
-                    .filter_map(|change| match change {
-                        Change::Put(entry) => Some(entry.name),
-                        Change::Removed(_) => None,
-                    })
-                    .collect(),
-                News::Lost(err) => {
-                    log::warn!("event=directory_lost kind=removals error={err}");
-                    return;
+            let mut known = self.known();
+            match news {
+                News::Snapshot(entries) => {
+                    known.leaving =
+                        entries.iter().map(|entry| entry.name.as_str().into()).collect();
                 }
-            };
-            for name in names {
-                known.leaving.entry(name.as_str().into()).or_insert(Told::Nothing);
+                News::Changes(changes) => {
+                    for change in changes {
+                        match change {
+                            Change::Put(entry) => known.leaving.insert(entry.name.as_str().into()),
+                            Change::Removed(name) => known.leaving.shift_remove(name.as_str()),
+                        };
+                    }
+                }
+                News::Lost(err) => log::warn!("event=directory_lost kind=removals error={err}"),
             }
             self.changed.notify_one();
         })
         .await;
     }
 
-    /// Looks at the set again and again and does what is next.
+    /// Looks at the layout again and again and does what is next.
     async fn keep(&self) {
         let started = Instant::now();
-        let mut heard = HashMap::new();
         loop {
             // Either way it is time to look again.
             let _ = time::timeout(LOOK_INTERVAL, self.changed.notified()).await;
-            if let Err(err) = self.look(started, &mut heard).await {
-                log::warn!("event=set_change_failed error={err}");
+            if let Err(err) = self.look(started).await {
+                log::warn!("event=layout_change_failed error={err}");
                 time::sleep(LOOK_INTERVAL).await;
             }
         }
     }
 
-    async fn look(
-        &self,
-        started: Instant,
-        heard: &mut HashMap<u64, Instant>,
-    ) -> Result<(), PlatformError> {
-        let (set, registered, leaving) = {
-            let known = lock(&self.known);
-            if !known.listed {
+    async fn look(&self, started: Instant) -> Result<(), PlatformError> {
+        let (layout, registered, leaving) = {
+            let known = self.known();
+            if !known.is_listed {
                 return Ok(());
             }
-            (known.set.clone(), known.registered.clone(), known.leaving.clone())
+            (known.layout.clone(), known.registered.clone(), known.leaving.clone())
         };
         self.register(&registered).await?;
-        let Some((revision, set)) = set else {
+        let Some((revision, layout)) = layout else {
             return self.found(started, &registered).await;
         };
-        self.tell_leaving(&set, &leaving).await?;
-        if set.next.is_some() {
-            return self.advance(revision, &set, heard).await;
-        }
-        let is_alone = set.members.iter().all(|member| member.disk == self.node.disk());
-        if is_alone && set.members.len() >= set.size_wanted() {
+        self.watch_others(&layout, &registered);
+        self.tell_leaving(&layout, &leaving).await?;
+        let plan = Plan {
+            layout: &layout,
+            registered: &registered,
+            leaving: &leaving,
+            silence: |member: &Member| self.silence(member),
+            patience: self.settings.patience,
+        };
+        let mut changes = plan.changes(self.node.disk());
+        changes.extend(self.advance(&layout).await);
+        if changes.is_empty() {
             return Ok(());
         }
-        // Members rest, unless one is to be emptied; spare instances look for
-        // a place.
-        let is_spare = !set.has(self.node.disk());
-        if is_spare || set.members.iter().any(|member| leaving.contains_key(&member.instance)) {
-            self.listen_for(&set, &registered, heard).await;
-        }
-        match self.plan(&set, &registered, &leaving, heard) {
-            None => Ok(()),
-            Some(next) => self.write_set(set.begin(next), Some(revision)).await,
+        let mut next = layout.clone();
+        for (partition, set) in changes {
+            next.partitions[partition] = set;
         }
+        self.write_layout(next, Some(revision)).await
     }
 
-    /// The change that this instance should write, if any.
-    fn plan(
-        &self,
-        set: &LedgerSet,
-        registered: &IndexMap<Name, Registration>,
-        leaving: &IndexMap<Name, Told>,
-        heard: &HashMap<u64, Instant>,
-    ) -> Option<Vec<Member>> {
-        let lost_after = self.settings.lost_after;
-        if !self.is_connected(set, heard) {
-            return None;
+    /// Watches all other instances that are or could become members.
+    fn watch_others(&self, layout: &Layout, registered: &IndexMap<Name, Registration>) {
+        let mut others = layout.members();
+        others.extend(registered.values().map(|found| &found.member));
+        others.retain(|member| member.disk != self.node.disk());
+        lock(&self.links).keep(&others);
+    }
+
+    /// For how long a member has not been heard of.
+    fn silence(&self, member: &Member) -> Duration {
+        if member.disk == self.node.disk() {
+            return Duration::ZERO;
         }
-        let plan = Plan {
-            set,
-            registered,
-            is_leaving: &|name: &Name| leaving.contains_key(name),
-            is_lost: &|member: &Member| {
-                heard.get(&member.disk).is_some_and(|at| at.elapsed() > lost_after)
-            },
-        };
-        plan.next().filter(|next| plan.is_driver(next, self.node.disk()))
+        lock(&self.links).get(member.disk).map_or(Duration::ZERO, |link| link.silence())
     }
 
     /// Writes what this instance is, if the directory says otherwise.
@@ -251,7 +242,7 @@
         let over = self.revision_of(&member.instance, registered).await?;
         self.directory.write(Kind::Ledgers, &member.instance, body, over).await?;
         log::info!("event=ledger_registered disk={}", member.disk);
-        lock(&self.known).registered.insert(member.instance.clone(), registration);
+        self.known().registered.insert(member.instance.clone(), registration);
         Ok(())
     }
 
@@ -269,155 +260,138 @@
         Ok(entry.map(|entry| entry.revision))
     }
 
-    /// Founds the set when the whole deployment starts for the first time.
+    /// Founds the layout when the whole deployment starts for the first time.
     async fn found(
         &self,
         started: Instant,
         registered: &IndexMap<Name, Registration>,
     ) -> Result<(), PlatformError> {
-        let size = 2 * self.settings.tolerated + 1;
-        let all_here = registered.len() >= size || started.elapsed() > FOUNDING_WAIT;
-        if !self.settings.is_founding || !all_here {
+        if !self.settings.is_founding || started.elapsed() < self.settings.founding_wait {
             return Ok(());
         }
-        let mut members: Vec<Member> =
-            registered.values().map(|found| found.member.clone()).collect();
-        members.sort_by(|a, b| a.instance.cmp(&b.instance));
-        members.truncate(size);
-        let tolerated = self.settings.tolerated;
-        self.write_set(LedgerSet { epoch: 1, tolerated, members, next: None }, None).await
+        let members: Vec<Member> = registered.values().map(|found| found.member.clone()).collect();
+        self.write_layout(Layout::found(&members, self.settings.tolerated), None).await
     }
 
-    async fn write_set(&self, set: LedgerSet, over: Option<u64>) -> Result<(), PlatformError> {
-        match self.directory.write(Kind::Ledgers, SET_NAME, to_body(&set), over).await {
+    async fn write_layout(&self, layout: Layout, over: Option<u64>) -> Result<(), PlatformError> {
+        match self.directory.write(Kind::Ledgers, LAYOUT_NAME, to_body(&layout), over).await {
             Ok(revision) => {
-                log::info!("event=set_written epoch={} revision={revision}", set.epoch);
-                self.node.set_newer(set.clone());
-                lock(&self.known).set = Some((revision, set));
+                let changing = layout.partitions.iter().filter(|set| set.next.is_some()).count();
+                log::info!("event=layout_written revision={revision} changing={changing}");
+                self.node.set_layout(layout.clone());
+                self.known().layout = Some((revision, layout));
                 Ok(())
             }
-            // Another instance was faster; the watch brings its set.
+            // Another instance was faster; the watch brings its layout.
             Err(PlatformError::Conflict(_)) => Ok(()),
             Err(err) => Err(err),
         }
     }
 
-    /// Brings a change under way to its end, or gives it up if a newcomer is
-    /// lost.
-    async fn advance(
-        &self,
-        revision: u64,
-        set: &LedgerSet,
-        heard: &mut HashMap<u64, Instant>,
-    ) -> Result<(), PlatformError> {
-        let learners = set.learners();
-        let me = self.node.disk();
-        let copied = self.node.copied().is_some_and(|epoch| epoch >= set.epoch);
-        if learners.iter().any(|member| member.disk == me) && !copied {
-            match self.node.copy_all(set).await {
-                Ok(()) => log::info!("event=ledger_copied epoch={}", set.epoch),
-                Err(err) => log::warn!("event=ledger_copy_failed epoch={} error={err}", set.epoch),
+    /// Brings changes under way to their end, or gives them up if a newcomer
+    /// is lost.
+    async fn advance(&self, layout: &Layout) -> Vec<(usize, LedgerSet)> {
+        let mut changes = Vec::new();
+        for (number, set) in layout.partitions.iter().enumerate() {
+            if set.next.is_none() {
+                continue;
+            }
+            let partition = number as u16;
+            self.copy_own(partition, set).await;
+            if self.is_copied(partition, set).await {
+                changes.push((number, set.finish()));
+            } else if self.is_hopeless(set) {
+                log::warn!("event=layout_change_abandoned partition={partition}");
+                changes.push((number, set.abandon()));
             }
         }
-        let mut is_done = true;
-        let mut lost = false;
-        for member in &learners {
-            let copied = match member.disk == me {
-                true => self.node.copied(),
-                false => match status(member, set.epoch).await {
-                    Ok(copied) => {
-                        heard.insert(member.disk, Instant::now());
-                        copied
-                    }
-                    Err(err) => {
-                        log::info!("event=learner_silent instance={} error={err}", member.instance);
-                        let at = *heard.entry(member.disk).or_insert_with(Instant::now);
-                        lost |= at.elapsed() > self.settings.lost_after * ABANDON_FACTOR;
-                        None
-                    }
-                },
-            };
-            is_done &= copied.is_some_and(|epoch| epoch >= set.epoch);
+        changes
+    }
+
+    /// Copies a partition that this instance is to hold.
+    async fn copy_own(&self, partition: u16, set: &LedgerSet) {
+        let is_learner = set.learners().iter().any(|member| member.disk == self.node.disk());
+        if !is_learner || self.has_copied(partition, set) {
+            return;
         }
-        if is_done {
-            self.write_set(set.finish(), Some(revision)).await
-        } else if lost && set.has(me) {
-            self.listen_for(set, &IndexMap::new(), heard).await;
-            if !self.is_connected(set, heard) {
-                return Ok(());
-            }
-            log::warn!("event=set_change_abandoned epoch={}", set.epoch);
-            self.write_set(set.abandon(), Some(revision)).await
-        } else {
-            Ok(())
+        match self.node.copy_all(partition, set).await {
+            Ok(()) => log::info!("event=ledger_copied partition={partition} epoch={}", set.epoch),
+            Err(err) => log::warn!("event=ledger_copy_failed partition={partition} error={err}"),
         }
     }
 
-    /// Asks the members and the spare instances whether they are there.
-    async fn listen_for(
-        &self,
-        set: &LedgerSet,
-        registered: &IndexMap<Name, Registration>,
-        heard: &mut HashMap<u64, Instant>,
-    ) {
-        let others = registered.values().map(|found| &found.member);
-        let asked = set.members.iter().chain(others);
-        let asked = asked.filter(|member| member.disk != self.node.disk());
-        let asked =
-            asked.map(async |member| (member.disk, status(member, set.epoch).await.is_ok()));
-        let answers = join_all(asked).await;
-        let now = Instant::now();
-        for (disk, answered) in answers {
-            match answered {
-                true => heard.insert(disk, now),
-                false => Some(*heard.entry(disk).or_insert(now)),
+    fn has_copied(&self, partition: u16, set: &LedgerSet) -> bool {
+        self.node.book().copied(partition).is_some_and(|epoch| epoch >= set.epoch)
+    }
+
+    /// Whether this instance is the one to end a change and all learners are
+    /// done.
+    async fn is_copied(&self, partition: u16, set: &LedgerSet) -> bool {
+        let learners = set.learners();
+        let ends = learners.first().is_some_and(|member| member.disk == self.node.disk());
+        if !ends {
+            return false;
+        }
+        for member in learners {
+            let copied = match member.disk == self.node.disk() {
+                true => self.has_copied(partition, set),
+                false => self.ask_copied(member, partition, set).await,
             };
+            if !copied {
+                return false;
+            }
         }
+        true
     }
 
-    /// Whether this instance has just heard of enough members to judge the
-    /// others; one that is cut off itself must not.
-    fn is_connected(&self, set: &LedgerSet, heard: &HashMap<u64, Instant>) -> bool {
-        let is_near = |member: &&Member| {
-            member.disk == self.node.disk()
-                || heard.get(&member.disk).is_some_and(|at| at.elapsed() < LOOK_INTERVAL)
-        };
+    async fn ask_copied(&self, member: &Member, partition: u16, set: &LedgerSet) -> bool {
+        let Some(link) = lock(&self.links).get(member.disk).cloned() else { return false };
+        let call = link.call(Scope { partition, epoch: set.epoch }, Ask::Status);
+        match time::timeout(STATUS_TIMEOUT, call).await {
+            Ok(Ok(Answer::Status { copied })) => copied.is_some_and(|epoch| epoch >= set.epoch),
+            other => {
+                log::info!("event=learner_silent instance={} answer={other:?}", member.instance);
+                false
+            }
+        }
+    }
+
+    /// Whether a learner has been silent for long, as seen by a present
+    /// member that is not cut off itself.
+    fn is_hopeless(&self, set: &LedgerSet) -> bool {
+        let patience = self.settings.patience.idle;
+        let is_near = |member: &&Member| self.silence(member) <= patience;
         let near: Vec<u64> = set.members.iter().filter(is_near).map(|member| member.disk).collect();
-        set.is_read(&near)
+        let learners = set.learners();
+        let mut learners = learners.iter();
+        set.has(self.node.disk())
+            && set.is_read(&near)
+            && learners.any(|member| self.silence(member) > patience * ABANDON_FACTOR)
     }
 
     /// Tells the operators how far the emptying of this instance is. Only an
-    /// instance that the set doesn't need any more is empty.
+    /// instance that no partition needs any more is empty.
     async fn tell_leaving(
         &self,
-        set: &LedgerSet,
-        leaving: &IndexMap<Name, Told>,
+        layout: &Layout,
+        leaving: &IndexSet<Name>,
     ) -> Result<(), PlatformError> {
         let me = &self.settings.member.instance;
-        let Some(told) = leaving.get(me) else { return Ok(()) };
-        let is_needed = set.all().iter().any(|member| member.instance == *me);
-        let next = if is_needed { Told::Running } else { Told::Finished };
-        if *told == next || *told == Told::Finished {
+        if !leaving.contains(me) {
+            return Ok(());
+        }
+        let is_empty = !layout.members().iter().any(|member| member.instance == *me);
+        if self.known().told.is_some_and(|told| told || told == is_empty) {
             return Ok(());
         }
-        let status = self.directory.removal_status(next == Told::Finished);
+        let status = self.directory.removal_status(is_empty);
         self.directory.write_status(Kind::Removals, me, status).await?;
-        log::info!("event=removal_told state={next:?}");
-        lock(&self.known).leaving.insert(me.clone(), next);
+        log::info!("event=removal_told is_empty={is_empty}");
+        self.known().told = Some(is_empty);
         Ok(())
     }
 }
 
-/// Asks an instance how far it is.
-async fn status(member: &Member, epoch: u64) -> Result<Option<u64>, pull::PullError> {
-    let asked = pull::ask(member, epoch, Ask::Status);
-    match time::timeout(STATUS_TIMEOUT, asked).await? {
-        Ok(Answer::Status { copied }) => Ok(copied),
-        Ok(_) => Err(pull::PullError::Refused),
-        Err(err) => Err(err),
-    }
-}
-
 fn to_body<T: serde::Serialize>(value: &T) -> Bytes {
     // Writing these types into memory never fails.
     serde_json::to_vec(value).map(Bytes::from).unwrap_or_default()
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -7,24 +7,29 @@
 //! acknowledged. The set of instances that count is agreed in the platform's
 //! directory and changes in two steps ([`LedgerSet`]).
 
+mod book;
 mod client;
 mod entry;
 mod error;
 mod index;
 mod keeper;
 mod link;
+mod links;
 mod log_file;
 mod node;
+mod plan;
 mod protocol;
 mod pull;
+mod serve;
 mod set;
 mod socket;
 
-pub use client::{Ledger, OpenRequest, Opened, Settlement};
-pub use entry::{Line, TurnRecord};
+pub use client::{Ledger, OpenRequest, Opened, TurnKey};
+pub use entry::{Line, Placed, TurnRecord};
 pub use error::LedgerError;
 pub use index::{Chain, Index};
 pub use keeper::{Keeper, KeeperSettings};
 pub use log_file::{LogFile, LogSettings, Recovered, encode_line};
 pub use node::{Node, NodeError, NodeSettings};
-pub use set::{LedgerSet, Member, Registration, SET_NAME};
+pub use plan::{Patience, Plan};
+pub use set::{LAYOUT_NAME, Layout, LedgerSet, Member, Registration};
--- a/crates/gg-ledger/src/link.rs
+++ b/crates/gg-ledger/src/link.rs
@@ -46,6 +46,13 @@
 /// Number of calls whose answer only shows that the instance is back.
 const PING: u64 = 0;
 
+/// Partition that a call is meant for, and its epoch as the caller knows it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Scope {
+    pub(crate) partition: u16,
+    pub(crate) epoch: u64,
+}
+
 /// A link to one member; reconnects while it lives.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -53,6 +60,10 @@
     is_up: AtomicBool,
     /// Since when the instance leaves calls without an answer.
     slow_since: Mutex<Option<Instant>>,
+    /// When the instance last answered.
+    heard: Mutex<Instant>,
+    /// Longest time without a ping, on links that watch an instance.
+    heartbeat: Option<Duration>,
     next: AtomicU64,
     calls: mpsc::Sender<Bytes>,
     pending: Mutex<HashMap<u64, Pending>>,
@@ -72,6 +83,8 @@
             member,
             is_up: AtomicBool::new(false),
             slow_since: Mutex::default(),
+            heard: Mutex::new(Instant::now()),
+            heartbeat: None,
             next: AtomicU64::new(1),
             calls,
             pending: Mutex::default(),
@@ -79,6 +92,12 @@
         (link, queued)
     }
 
+    /// A link that asks again and again whether the instance is there.
+    pub(crate) fn watching(member: Member, heartbeat: Duration) -> (Self, mpsc::Receiver<Bytes>) {
+        let (link, queued) = Link::new(member);
+        (Link { heartbeat: Some(heartbeat), ..link }, queued)
+    }
+
     /// Whether the instance is connected.
     pub(crate) fn is_up(&self) -> bool {
         self.is_up.load(Ordering::Relaxed)
@@ -106,23 +125,28 @@
         }
     }
 
+    /// Time since the instance last answered, or since the link was made.
+    pub(crate) fn silence(&self) -> Duration {
+        lock(&self.heard).elapsed()
+    }
+
     /// Sends a call and waits for its answer; the caller limits the time.
-    pub(crate) async fn call(&self, epoch: u64, ask: Ask) -> Result<Answer, LedgerError> {
+    pub(crate) async fn call(&self, scope: Scope, ask: Ask) -> Result<Answer, LedgerError> {
         let (answer, answered) = oneshot::channel();
-        let id = self.send(epoch, ask, Some(answer))?;
+        let id = self.send(scope, ask, Some(answer))?;
         let _guard = Forget { link: self, id };
         answered.await.map_err(|_| LedgerError::Disconnected)
     }
 
     /// Sends a call whose answer doesn't matter.
-    pub(crate) fn tell(&self, epoch: u64, ask: Ask) {
+    pub(crate) fn tell(&self, scope: Scope, ask: Ask) {
         // A member that is away learns of it from the others when it copies.
-        let _ = self.send(epoch, ask, None);
+        let _ = self.send(scope, ask, None);
     }
 
     fn send(
         &self,
-        epoch: u64,
+        scope: Scope,
         ask: Ask,
         answer: Option<oneshot::Sender<Answer>>,
     ) -> Result<u64, LedgerError> {
@@ -130,7 +154,8 @@
             return Err(LedgerError::Disconnected);
         }
         let id = self.next.fetch_add(1, Ordering::Relaxed);
-        let request = encode(&Request { id, epoch, disk: self.member.disk, ask });
+        let Scope { partition, epoch } = scope;
+        let request = encode(&Request { id, partition, epoch, disk: self.member.disk, ask });
         if let Some(answer) = answer {
             let pending = Pending { since: Instant::now(), answer };
             lock(&self.pending).insert(id, pending);
@@ -195,7 +220,7 @@
                     time::timeout(SILENCE_MAX, writing).await??;
                 }
                 _ = check.tick() => {
-                    if self.check_silence()? {
+                    if self.check_silence()? || self.is_ping_due() {
                         let ping = self.encode_ping();
                         time::timeout(SILENCE_MAX, writer.send(ping)).await??;
                     }
@@ -207,6 +232,7 @@
     fn take(&self, frame: &bytes::BytesMut) -> io::Result<()> {
         let reply: Reply = decode(frame).map_err(io::Error::other)?;
         self.set_slow(false);
+        *lock(&self.heard) = Instant::now();
         if let Some(pending) = lock(&self.pending).remove(&reply.id) {
             // The caller may have stopped waiting.
             let _ = pending.answer.send(reply.answer);
@@ -229,9 +255,14 @@
         }
     }
 
+    /// Whether a link that is kept for its heartbeat needs one.
+    fn is_ping_due(&self) -> bool {
+        self.heartbeat.is_some_and(|interval| self.silence() >= interval)
+    }
+
     fn encode_ping(&self) -> Bytes {
         let disk = self.member.disk;
-        encode(&Request { id: PING, epoch: 0, disk, ask: Ask::Status })
+        encode(&Request { id: PING, partition: 0, epoch: 0, disk, ask: Ask::Ping })
     }
 }
 
--- /dev/null
+++ b/crates/gg-ledger/src/links.rs
@@ -0,0 +1,63 @@
+//! Links to all members that matter at the moment.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use tokio_util::sync::CancellationToken;
+
+use crate::{Member, link::Link};
+
+/// Links by disk; each has a task that keeps it connected.
+#[derive(Debug)]
+pub(crate) struct Links {
+    links: IndexMap<u64, (Arc<Link>, CancellationToken)>,
+    heartbeat: Option<Duration>,
+    stop: CancellationToken,
+}
+
+impl Links {
+    /// No links yet; with a `heartbeat`, each asks that often whether its
+    /// instance is there. All end when `stop` is cancelled.
+    pub(crate) fn new(heartbeat: Option<Duration>, stop: CancellationToken) -> Self {
+        Links { links: IndexMap::new(), heartbeat, stop }
+    }
+
+    /// Keeps links to exactly these members.
+    pub(crate) fn keep(&mut self, wanted: &[&Member]) {
+        self.links.retain(|_, (link, stop)| {
+            let stays = wanted.contains(&&link.member);
+            if !stays {
+                stop.cancel();
+            }
+            stays
+        });
+        for member in wanted {
+            if !self.links.contains_key(&member.disk) {
+                self.add((*member).clone());
+            }
+        }
+    }
+
+    fn add(&mut self, member: Member) {
+        let disk = member.disk;
+        let (link, queued) = match self.heartbeat {
+            Some(heartbeat) => Link::watching(member, heartbeat),
+            None => Link::new(member),
+        };
+        let link = Arc::new(link);
+        let stop = self.stop.child_token();
+        let (running, stopped) = (link.clone(), stop.clone());
+        tokio::spawn(async move { stopped.run_until_cancelled(running.run(queued)).await });
+        self.links.insert(disk, (link, stop));
+    }
+
+    /// The link to a disk.
+    pub(crate) fn get(&self, disk: u64) -> Option<&Arc<Link>> {
+        self.links.get(&disk).map(|(link, _)| link)
+    }
+
+    /// All links.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Link>> {
+        self.links.values().map(|(link, _)| link)
+    }
+}
--- a/crates/gg-ledger/src/log_file.rs
+++ b/crates/gg-ledger/src/log_file.rs
@@ -3,13 +3,11 @@
 
 use std::{
     fs::{self, File, OpenOptions},
-    io::{self, Write},
+    io::{self, BufReader, Read, Write},
     path::{Path, PathBuf},
 };
 
-use serde::Serialize;
-
-use crate::Line;
+use crate::Placed;
 
 /// Bytes before each line: its length and its checksum, little-endian.
 const HEAD_BYTES: usize = 8;
@@ -20,6 +18,9 @@
 /// Bytes of a checkpoint that are written at a time.
 const CHUNK_BYTES: usize = 1 << 20;
 
+/// Bytes of a segment that are read at a time.
+const READ_BYTES: usize = 64 << 10;
+
 const SEGMENT: &str = "log";
 const UNFINISHED: &str = "tmp";
 
@@ -34,10 +35,10 @@
 }
 
 /// What was found on disk.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, PartialEq, Eq)]
 pub struct Recovered {
-    /// All lines, oldest segment first.
-    pub lines: Vec<Line>,
+    /// Lines that were read.
+    pub lines: usize,
     /// Bytes cut off behind the last whole line of a segment.
     pub torn_bytes: u64,
     /// Identity of the disk.
@@ -56,15 +57,19 @@
 }
 
 impl LogFile {
-    /// Opens the log; what was written last and not whole is cut off.
-    pub fn open(settings: LogSettings) -> io::Result<(Self, Recovered)> {
+    /// Opens the log and hands all lines to `take`, oldest segment first;
+    /// what was written last and not whole is cut off.
+    pub fn open(
+        settings: LogSettings,
+        mut take: impl FnMut(Placed),
+    ) -> io::Result<(Self, Recovered)> {
         fs::create_dir_all(&settings.folder)?;
         let mut recovered =
             Recovered { disk: disk_identity(&settings.folder)?, ..Recovered::default() };
         let mut older = 0;
         let mut last = 0;
         for (number, path) in segments(&settings.folder)? {
-            older += read_segment(&path, &mut recovered)?;
+            older += read_segment(&path, &mut recovered, &mut take)?;
             last = number;
         }
         let number = last + 1;
@@ -98,7 +103,7 @@
 
     /// Writes `lines`, which hold all that is still of use, and removes all
     /// older segments.
-    pub fn checkpoint(&mut self, lines: &[Line]) -> io::Result<()> {
+    pub fn checkpoint(&mut self, lines: &[Placed]) -> io::Result<()> {
         let folder = &self.settings.folder;
         let outdated = segments(folder)?;
         let number = self.number + 1;
@@ -131,7 +136,7 @@
 }
 
 /// Appends one line in the log's form to `buffer`.
-pub fn encode_line<T: Serialize>(line: &T, buffer: &mut Vec<u8>) {
+pub fn encode_line(line: &Placed, buffer: &mut Vec<u8>) {
     let start = buffer.len();
     buffer.extend_from_slice(&[0; HEAD_BYTES]);
     // Writing into memory fails for no line.
@@ -143,17 +148,24 @@
 }
 
 /// Reads the whole lines of a segment and cuts off the rest. Returns the
-/// bytes that stay.
-fn read_segment(path: &Path, recovered: &mut Recovered) -> io::Result<u64> {
-    let content = fs::read(path)?;
-    let mut rest = content.as_slice();
-    while let Some((line, behind)) = decode_line(rest) {
-        recovered.lines.push(line);
-        rest = behind;
+/// bytes that stay. Only one line is held in memory at a time.
+fn read_segment(
+    path: &Path,
+    recovered: &mut Recovered,
+    take: &mut impl FnMut(Placed),
+) -> io::Result<u64> {
+    let file = File::open(path)?;
+    let length = file.metadata()?.len();
+    let mut reader = BufReader::with_capacity(READ_BYTES, file);
+    let mut whole = 0;
+    let mut content = Vec::new();
+    while let Some(line) = read_line(&mut reader, &mut content, length - whole)? {
+        recovered.lines += 1;
+        whole += (HEAD_BYTES + content.len()) as u64;
+        take(line);
     }
-    let whole = (content.len() - rest.len()) as u64;
-    if !rest.is_empty() {
-        recovered.torn_bytes += rest.len() as u64;
+    if whole < length {
+        recovered.torn_bytes += length - whole;
         let file = OpenOptions::new().write(true).open(path)?;
         file.set_len(whole)?;
         file.sync_all()?;
@@ -161,17 +173,28 @@
     Ok(whole)
 }
 
-/// The first line of `content` and what follows it; `None` if it is not
-/// whole.
-fn decode_line(content: &[u8]) -> Option<(Line, &[u8])> {
-    let (head, rest) = content.split_at_checked(HEAD_BYTES)?;
-    let length = u32::from_le_bytes(head[..4].try_into().ok()?) as usize;
-    let sum = u32::from_le_bytes(head[4..].try_into().ok()?);
-    let (line, behind) = rest.split_at_checked(length)?;
-    if length == 0 || crc32fast::hash(line) != sum {
-        return None;
+/// The next line of a segment with `left` bytes; `None` if it is not whole.
+fn read_line(
+    reader: &mut impl Read,
+    content: &mut Vec<u8>,
+    left: u64,
+) -> io::Result<Option<Placed>> {
+    let mut head = [0; HEAD_BYTES];
+    if left < HEAD_BYTES as u64 {
+        return Ok(None);
+    }
+    reader.read_exact(&mut head)?;
+    let [a, b, c, d, e, f, g, h] = head;
+    let (length, sum) = (u32::from_le_bytes([a, b, c, d]), u32::from_le_bytes([e, f, g, h]));
+    if length == 0 || u64::from(length) > left - HEAD_BYTES as u64 {
+        return Ok(None);
+    }
+    content.resize(length as usize, 0);
+    reader.read_exact(content)?;
+    if crc32fast::hash(content) != sum {
+        return Ok(None);
     }
-    Some((postcard::from_bytes(line).ok()?, behind))
+    Ok(postcard::from_bytes(content).ok())
 }
 
 /// Segments by number; leftovers of unfinished checkpoints are removed.
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -1,35 +1,26 @@
-//! One ledger instance: its index, its log, and the calls of its clients.
+//! One ledger instance: what it keeps, its log, and its start.
 
 use std::{
     io,
     net::SocketAddr,
     path::PathBuf,
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use futures::StreamExt;
 use quick_error::quick_error;
 use tokio::{
-    net::TcpStream,
     sync::{mpsc, oneshot},
     task, time,
 };
-use tokio_util::{
-    codec::{FramedRead, FramedWrite},
-    sync::CancellationToken,
-};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Index, LedgerSet, Line, LogFile, LogSettings,
-    index::Chain,
+    Layout, LedgerSet, Line, LogFile, LogSettings, Placed,
+    book::Book,
     log_file::encode_line,
-    protocol::{Answer, Ask, FrameWriter, Reply, Request, codec, decode, encode, write_frames},
-    pull, socket,
+    pull::{self, PullError},
+    serve, socket,
 };
 
 quick_error! {
@@ -47,12 +38,9 @@
     }
 }
 
-/// Lines that may wait for the disk.
+/// Writes that may wait for the disk.
 const COMMITS_MAX: usize = 4096;
 
-/// Replies that may wait for one slow client.
-const REPLIES_MAX: usize = 1024;
-
 /// Time between two rounds of dropping what has expired.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -60,9 +48,6 @@
 /// several instances that were started at different moments.
 const EXPIRE_MARGIN: Duration = Duration::from_secs(30);
 
-/// Pause after a failed accept, which mostly means too many open files.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Where an instance listens and keeps its log.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -83,12 +68,7 @@
 #[derive(Debug)]
 struct Shared {
     disk: u64,
-    /// Calls of older epochs are refused.
-    epoch: AtomicU64,
-    index: Mutex<Index>,
-    set: Mutex<LedgerSet>,
-    /// Epoch for which everything was copied from the others.
-    copied: Mutex<Option<u64>>,
+    book: Mutex<Book>,
     commits: mpsc::Sender<Commit>,
 }
 
@@ -108,42 +88,29 @@
             folder: settings.folder.clone(),
             checkpoint_bytes: settings.checkpoint_bytes,
         };
-        let opened = task::spawn_blocking(move || LogFile::open(log)).await;
-        let (log, recovered) =
-            opened.map_err(io::Error::other).and_then(|opened| opened).map_err(NodeError::Log)?;
-        let mut index = Index::default();
-        let mut epoch = 0;
-        let now = Instant::now();
-        let lines = recovered.lines.len();
-        for line in recovered.lines {
-            if let Line::Epoch(sealed) = line {
-                epoch = epoch.max(sealed);
-            }
-            index.apply(line, now);
-        }
-        let (turns, programs) = index.len();
+        let reading = task::spawn_blocking(move || {
+            let mut book = Book::default();
+            let now = Instant::now();
+            let (log, recovered) = LogFile::open(log, |line| book.apply(line, now))?;
+            io::Result::Ok((log, recovered, book))
+        });
+        let read = reading.await.map_err(io::Error::other).and_then(|read| read);
+        let (log, recovered, book) = read.map_err(NodeError::Log)?;
+        let (turns, programs) = book.len();
         log::info!(
-            "event=ledger_read disk={} lines={lines} turns={turns} programs={programs} \
-             torn_bytes={} epoch={epoch}",
+            "event=ledger_read disk={} lines={} turns={turns} programs={programs} torn_bytes={}",
             recovered.disk,
+            recovered.lines,
             recovered.torn_bytes
         );
         let (commits, waiting) = mpsc::channel(COMMITS_MAX);
-        let node = Node {
-            shared: Arc::new(Shared {
-                disk: recovered.disk,
-                epoch: AtomicU64::new(epoch),
-                index: Mutex::new(index),
-                set: Mutex::default(),
-                copied: Mutex::default(),
-                commits,
-            }),
-        };
+        let shared = Shared { disk: recovered.disk, book: Mutex::new(book), commits };
+        let node = Node { shared: Arc::new(shared) };
         let listener = socket::listen(settings.listen)
             .map_err(|err| NodeError::Listen(settings.listen, err))?;
         tokio::spawn(node.clone().commit(log, waiting, stop.clone()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(node.clone().expire()));
-        let accepting = node.clone().accept(listener, stop.clone());
+        let accepting = serve::accept(node.clone(), listener, stop.clone());
         tokio::spawn(stop.run_until_cancelled_owned(accepting));
         Ok(node)
     }
@@ -153,43 +120,35 @@
         self.shared.disk
     }
 
-    /// Epoch below which calls are refused.
-    pub fn epoch(&self) -> u64 {
-        self.shared.epoch.load(Ordering::SeqCst)
-    }
-
     /// Number of turns and of programs.
     pub fn len(&self) -> (usize, usize) {
-        self.index().len()
+        self.book().len()
     }
 
     /// Whether nothing is kept.
     pub fn is_empty(&self) -> bool {
-        self.index().is_empty()
+        self.len() == (0, 0)
     }
 
-    /// The set as last heard of.
-    pub fn set(&self) -> LedgerSet {
-        lock(&self.shared.set).clone()
+    pub(crate) fn book(&self) -> MutexGuard<'_, Book> {
+        lock(&self.shared.book)
     }
 
-    /// Takes in a newer set.
-    pub(crate) fn set_newer(&self, set: LedgerSet) {
-        let mut known = lock(&self.shared.set);
-        if set.epoch > known.epoch {
-            self.raise_epoch(set.epoch);
-            *known = set;
-        }
-    }
-
-    /// Epoch for which everything was copied from the others.
-    pub(crate) fn copied(&self) -> Option<u64> {
-        *lock(&self.shared.copied)
+    /// Takes in a newer layout.
+    pub(crate) fn set_layout(&self, layout: Layout) {
+        let lines = {
+            let mut book = self.book();
+            if book.layout().covers(&layout) {
+                return;
+            }
+            book.set_layout(layout, self.disk())
+        };
+        self.enqueue(&lines);
     }
 
-    /// Copies everything from enough of the present members and keeps it on
-    /// disk, so that the instance may count in `set.next`.
-    pub(crate) async fn copy_all(&self, set: &LedgerSet) -> Result<(), pull::PullError> {
+    /// Copies everything of a partition from enough of its present members
+    /// and keeps it on disk, so that the instance may count in `set.next`.
+    pub(crate) async fn copy_all(&self, partition: u16, set: &LedgerSet) -> Result<(), PullError> {
         let mut sources: Vec<u64> = Vec::new();
         if set.has(self.disk()) {
             sources.push(self.disk());
@@ -198,53 +157,45 @@
             if set.is_read(&sources) {
                 break;
             }
-            match pull::pull(self, member, set.epoch).await {
+            match pull::pull(self, member, partition, set.epoch).await {
                 Ok(()) => sources.push(member.disk),
-                Err(err) => log::warn!("event=pull_failed from={} error={err:?}", member.instance),
+                Err(err) => log::warn!(
+                    "event=pull_failed partition={partition} from={} error={err:?}",
+                    member.instance
+                ),
             }
         }
         if !set.is_read(&sources) {
-            return Err(pull::PullError::TooFew);
+            return Err(PullError::TooFew);
         }
-        let mut sealed = Vec::new();
-        encode_line(&Line::Epoch(set.epoch), &mut sealed);
-        if !self.write(sealed).await {
-            return Err(pull::PullError::Refused);
+        if !self.write(&[(partition, Line::Epoch(set.epoch))]).await {
+            return Err(PullError::Refused);
         }
-        *lock(&self.shared.copied) = Some(set.epoch);
+        self.book().set_copied(partition, set.epoch);
         Ok(())
     }
 
-    /// Takes in copied lines; they are on disk when a later write is.
-    pub(crate) async fn take_lines(&self, lines: Vec<Line>) {
-        let mut encoded = Vec::new();
-        lines.iter().for_each(|line| encode_line(line, &mut encoded));
-        let now = Instant::now();
-        {
-            let mut index = self.index();
-            lines.into_iter().for_each(|line| index.apply(line, now));
-        }
-        let commit = Commit { encoded, done: None };
-        // Fails only when the instance stops.
-        let _ = self.shared.commits.send(commit).await;
-    }
-
-    fn index(&self) -> MutexGuard<'_, Index> {
-        lock(&self.shared.index)
+    /// Takes in copied lines and waits until they are on disk, which limits
+    /// how much of a copy is in memory twice.
+    pub(crate) async fn take_lines(&self, partition: u16, lines: Vec<Line>) -> bool {
+        let lines: Vec<Placed> = lines.into_iter().map(|line| (partition, line)).collect();
+        self.apply(&lines);
+        self.write(&lines).await
     }
 
-    /// Raises the epoch; the line that keeps it follows with the next sync.
-    fn raise_epoch(&self, epoch: u64) {
-        if self.shared.epoch.fetch_max(epoch, Ordering::SeqCst) < epoch {
-            self.enqueue(&[Line::Epoch(epoch)]);
-        }
+    /// Takes in lines that are written as well.
+    pub(crate) fn apply(&self, lines: &[Placed]) {
+        let now = Instant::now();
+        let mut book = self.book();
+        lines.iter().for_each(|line| book.apply(line.clone(), now));
     }
 
     /// Has lines written without waiting for the disk.
-    fn enqueue(&self, lines: &[Line]) {
-        let mut encoded = Vec::new();
-        lines.iter().for_each(|line| encode_line(line, &mut encoded));
-        let commit = Commit { encoded, done: None };
+    pub(crate) fn enqueue(&self, lines: &[Placed]) {
+        if lines.is_empty() {
+            return;
+        }
+        let commit = Commit { encoded: encode_lines(lines), done: None };
         if self.shared.commits.try_send(commit).is_err() {
             log::warn!("event=log_behind dropped_lines={}", lines.len());
         }
@@ -252,9 +203,9 @@
 
     /// Has lines written and waits for the disk. Returns whether they are
     /// there.
-    async fn write(&self, encoded: Vec<u8>) -> bool {
+    pub(crate) async fn write(&self, lines: &[Placed]) -> bool {
         let (done, written) = oneshot::channel();
-        let commit = Commit { encoded, done: Some(done) };
+        let commit = Commit { encoded: encode_lines(lines), done: Some(done) };
         self.shared.commits.send(commit).await.is_ok() && written.await.is_ok()
     }
 
@@ -272,12 +223,7 @@
                 encoded.extend_from_slice(&more.encoded);
                 done.extend(more.done);
             }
-            let due = log.is_checkpoint_due();
-            let checkpoint = due.then(|| {
-                let mut lines = self.index().lines();
-                lines.push(Line::Epoch(self.epoch()));
-                lines
-            });
+            let checkpoint = log.is_checkpoint_due().then(|| self.book().all_lines());
             let written = task::spawn_blocking(move || {
                 log.append(&encoded)?;
                 if let Some(lines) = checkpoint {
@@ -294,6 +240,7 @@
                 }
             };
             for done in done {
+                // The caller may have gone; the line stands.
                 let _ = done.send(());
             }
         }
@@ -302,163 +249,15 @@
     async fn expire(self) {
         loop {
             time::sleep(EXPIRE_INTERVAL).await;
-            self.index().expire(Instant::now(), EXPIRE_MARGIN);
-        }
-    }
-
-    async fn accept(self, listener: tokio::net::TcpListener, stop: CancellationToken) {
-        loop {
-            match listener.accept().await {
-                Ok((socket, _)) => {
-                    let serving = self.clone().serve(socket);
-                    tokio::spawn(stop.clone().run_until_cancelled_owned(serving));
-                }
-                Err(err) => {
-                    log::warn!("event=accept_failed error={err}");
-                    time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            self.book().expire(Instant::now(), EXPIRE_MARGIN);
         }
     }
-
-    /// Serves one connection.
-    async fn serve(self, socket: TcpStream) {
-        if let Err(err) = socket::prepare(&socket) {
-            log::warn!("event=socket_failed error={err}");
-            return;
-        }
-        let (reader, writer) = socket.into_split();
-        let (replies, queued) = mpsc::channel(REPLIES_MAX);
-        let writing = tokio::spawn(write_replies(FramedWrite::new(writer, codec()), queued));
-        let mut reader = FramedRead::new(reader, codec());
-        while let Some(Ok(frame)) = reader.next().await {
-            match decode::<Request>(&frame) {
-                Ok(request) => self.handle(request, &replies).await,
-                Err(err) => {
-                    log::warn!("event=bad_frame error={err}");
-                    break;
-                }
-            }
-        }
-        drop(replies);
-        let _ = writing.await;
-    }
-
-    /// Carries out one call. Only answers that wait for the disk get a task.
-    async fn handle(&self, request: Request, replies: &mpsc::Sender<Bytes>) {
-        let id = request.id;
-        if let Some(refusal) = self.refusal(&request) {
-            send(replies, id, refusal).await;
-            return;
-        }
-        match request.ask {
-            Ask::Open { turn, reserve, chain } => {
-                let (others, chain) = self.open(turn, reserve, chain);
-                send(replies, id, Answer::Opened { others, chain }).await;
-            }
-            Ask::Close { turn, settle, record } => {
-                let mut encoded = Vec::new();
-                let settle = settle.map(|(program, tokens)| Line::Settle {
-                    program,
-                    turn: turn.clone(),
-                    tokens,
-                });
-                let is_urgent = record.is_some();
-                let now = Instant::now();
-                for line in settle.into_iter().chain(record.map(Line::Turn)) {
-                    encode_line(&line, &mut encoded);
-                    self.index().apply(line, now);
-                }
-                let (node, replies) = (self.clone(), replies.clone());
-                if !is_urgent {
-                    let commit = Commit { encoded, done: None };
-                    if node.shared.commits.try_send(commit).is_err() {
-                        log::warn!("event=log_behind turn={turn}");
-                    }
-                    return;
-                }
-                tokio::spawn(async move {
-                    if node.write(encoded).await {
-                        send(&replies, id, Answer::Closed).await;
-                    }
-                });
-            }
-            Ask::Fetch(turn) => {
-                let chain = self.index().chain(&turn, Instant::now());
-                send(replies, id, Answer::Fetched(chain)).await;
-            }
-            Ask::Status => {
-                send(replies, id, Answer::Status { copied: self.copied() }).await;
-            }
-            Ask::Pull => {
-                let (node, replies) = (self.clone(), replies.clone());
-                tokio::spawn(async move { node.send_all(id, request.epoch, replies).await });
-            }
-        }
-    }
-
-    /// Refuses calls for another disk and of older epochs; learns of newer
-    /// ones.
-    fn refusal(&self, request: &Request) -> Option<Answer> {
-        if request.disk != self.shared.disk {
-            return Some(Answer::OtherDisk);
-        }
-        if request.epoch < self.epoch() && !matches!(request.ask, Ask::Status) {
-            return Some(Answer::Stale(self.set()));
-        }
-        self.raise_epoch(request.epoch);
-        None
-    }
-
-    fn open(
-        &self,
-        turn: gg_protocol::Name,
-        reserve: Option<(gg_protocol::Name, u32)>,
-        chain: Option<gg_protocol::Name>,
-    ) -> (u64, Option<Chain>) {
-        let now = Instant::now();
-        let mut index = self.index();
-        let others = match reserve {
-            None => 0,
-            Some((program, tokens)) => {
-                let others = index.others(&program, &turn);
-                let line = Line::Reserve { program, turn, tokens };
-                self.enqueue(std::slice::from_ref(&line));
-                index.apply(line, now);
-                others
-            }
-        };
-        (others, chain.map(|turn| index.chain(&turn, now)))
-    }
-
-    /// Sends everything. Nothing of an older epoch is acknowledged from here
-    /// on, also after a power loss.
-    async fn send_all(self, id: u64, epoch: u64, replies: mpsc::Sender<Bytes>) {
-        let mut sealed = Vec::new();
-        encode_line(&Line::Epoch(epoch), &mut sealed);
-        if !self.write(sealed).await {
-            return;
-        }
-        let lines = self.index().lines();
-        for part in lines.chunks(pull::PART_LINES) {
-            send(&replies, id, Answer::Part(part.to_vec())).await;
-        }
-        send(&replies, id, Answer::PulledAll).await;
-    }
-}
-
-async fn send(replies: &mpsc::Sender<Bytes>, id: u64, answer: Answer) {
-    // A failed send means that the client has gone; it asks again elsewhere.
-    let _ = replies.send(encode(&Reply { id, answer })).await;
 }
 
-async fn write_replies(mut writer: FrameWriter, mut queued: mpsc::Receiver<Bytes>) {
-    while let Some(first) = queued.recv().await {
-        if write_frames(&mut writer, first, &mut queued).await.is_err() {
-            // The reading half notices that the client has gone.
-            return;
-        }
-    }
+fn encode_lines(lines: &[Placed]) -> Vec<u8> {
+    let mut encoded = Vec::new();
+    lines.iter().for_each(|line| encode_line(line, &mut encoded));
+    encoded
 }
 
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -11,7 +11,10 @@
 use tokio::{net::tcp::OwnedWriteHalf, sync::mpsc};
 use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
 
-use crate::{LedgerSet, Line, TurnRecord, index::Chain};
+use crate::{
+    Layout, Line, TurnRecord,
+    index::{Chain, Spent},
+};
 
 /// Largest frame, in bytes; a chain of 280,000 tokens fits.
 const FRAME_MAX_BYTES: usize = 16 << 20;
@@ -21,7 +24,9 @@
 pub(crate) struct Request {
     /// Number that the reply repeats.
     pub(crate) id: u64,
-    /// Epoch of the set that the caller knows.
+    /// Partition that is meant.
+    pub(crate) partition: u16,
+    /// Epoch of that partition's set, as the caller knows it.
     pub(crate) epoch: u64,
     /// Disk that the caller means to reach.
     pub(crate) disk: u64,
@@ -50,11 +55,22 @@
         /// The turn, if it finished whole.
         record: Option<TurnRecord>,
     },
+    /// Tell what each turn of a program spent or set aside.
+    Account(Name),
     /// Read a chain.
     Fetch(Name),
-    /// How far the instance is.
+    /// Read a chain from whichever partition has it.
+    Find {
+        /// Last turn of the chain.
+        turn: Name,
+        /// Epochs of all partitions, as the caller knows them.
+        epochs: Vec<u64>,
+    },
+    /// Show that the instance is there.
+    Ping,
+    /// Tell how far the partition is copied.
     Status,
-    /// Send everything, as [`Answer::Part`]s.
+    /// Send everything of the partition, as [`Answer::Part`]s.
     Pull,
 }
 
@@ -77,10 +93,14 @@
         /// The chain, if it was asked for here.
         chain: Option<Chain>,
     },
+    /// Reply to [`Ask::Account`].
+    Account(Vec<Spent>),
     /// The end is on disk.
     Closed,
-    /// Reply to [`Ask::Fetch`].
+    /// Reply to [`Ask::Fetch`] and [`Ask::Find`].
     Fetched(Chain),
+    /// Reply to [`Ask::Ping`].
+    Here,
     /// Reply to [`Ask::Status`].
     Status {
         /// Epoch for which the instance has copied everything, if it did.
@@ -91,7 +111,7 @@
     /// All was sent.
     PulledAll,
     /// The call was of an older epoch and not carried out.
-    Stale(LedgerSet),
+    Stale(Layout),
     /// The call was meant for another disk.
     OtherDisk,
 }
--- a/crates/gg-ledger/src/pull.rs
+++ b/crates/gg-ledger/src/pull.rs
@@ -1,4 +1,4 @@
-//! Copies everything that another instance keeps.
+//! Copies everything of a partition that another instance keeps.
 
 use std::{io, time::Duration};
 
@@ -8,13 +8,16 @@
 use tokio_util::codec::Framed;
 
 use crate::{
-    Member, Node,
+    Line, Member, Node,
     protocol::{Answer, Ask, FrameError, Reply, Request, codec, decode, encode},
     socket,
 };
 
-/// Lines sent in one message; keeps messages well below a megabyte.
-pub(crate) const PART_LINES: usize = 64;
+/// Bytes of texts in one message: one sync for each, little memory.
+const PART_BYTES: usize = 256 << 10;
+
+/// Bytes that a line without a text counts as.
+const LINE_BYTES: usize = 64;
 
 /// Longest pause between two messages of a copy.
 const PART_TIMEOUT: Duration = Duration::from_secs(2);
@@ -49,27 +52,45 @@
     }
 }
 
-/// Copies everything of `member` into `node`. The member acknowledges nothing
-/// of an epoch older than `epoch` from then on.
-pub(crate) async fn pull(node: &Node, member: &Member, epoch: u64) -> Result<(), PullError> {
+/// Copies everything of a partition from `member` into `node`. The member
+/// acknowledges nothing of an epoch older than `epoch` from then on.
+pub(crate) async fn pull(
+    node: &Node,
+    member: &Member,
+    partition: u16,
+    epoch: u64,
+) -> Result<(), PullError> {
     let mut framed = Framed::new(socket::connect(member.address).await?, codec());
-    let request = Request { id: 0, epoch, disk: member.disk, ask: Ask::Pull };
+    let request = Request { id: 1, partition, epoch, disk: member.disk, ask: Ask::Pull };
     framed.send(encode(&request)).await?;
     loop {
         let frame =
             time::timeout(PART_TIMEOUT, framed.next()).await?.ok_or(PullError::Refused)??;
         match decode::<Reply>(&frame)?.answer {
-            Answer::Part(lines) => node.take_lines(lines).await,
+            Answer::Part(lines) => {
+                if !node.take_lines(partition, lines).await {
+                    return Err(PullError::Refused);
+                }
+            }
             Answer::PulledAll => return Ok(()),
             _ => return Err(PullError::Refused),
         }
     }
 }
 
-/// Asks `member` something on a connection of its own.
-pub(crate) async fn ask(member: &Member, epoch: u64, ask: Ask) -> Result<Answer, PullError> {
-    let mut framed = Framed::new(socket::connect(member.address).await?, codec());
-    framed.send(encode(&Request { id: 0, epoch, disk: member.disk, ask })).await?;
-    let frame = framed.next().await.ok_or(PullError::Refused)??;
-    Ok(decode::<Reply>(&frame)?.answer)
+/// Lines in portions of about [`PART_BYTES`].
+pub(crate) fn parts(lines: Vec<Line>) -> Vec<Vec<Line>> {
+    let mut parts = Vec::new();
+    let mut part = Vec::new();
+    let mut bytes = 0;
+    for line in lines {
+        bytes += LINE_BYTES + if let Line::Turn(record) = &line { record.text.len() } else { 0 };
+        part.push(line);
+        if bytes >= PART_BYTES {
+            parts.push(std::mem::take(&mut part));
+            bytes = 0;
+        }
+    }
+    parts.push(part);
+    parts
 }
--- /dev/null
+++ b/crates/gg-ledger/src/serve.rs
@@ -0,0 +1,207 @@
+//! Calls of clients and of other instances to one instance.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use gg_protocol::Name;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time,
+};
+use tokio_util::{
+    codec::{FramedRead, FramedWrite},
+    sync::CancellationToken,
+};
+
+use crate::{
+    Line, Node, TurnRecord,
+    index::Chain,
+    protocol::{Answer, Ask, FrameWriter, Reply, Request, codec, decode, encode, write_frames},
+    pull, socket,
+};
+
+/// Replies that may wait for one slow client; its further calls wait too.
+const REPLIES_MAX: usize = 16;
+
+/// Pause after a failed accept, which mostly means too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections, one task each.
+pub(crate) async fn accept(node: Node, listener: TcpListener, stop: CancellationToken) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                let serving = serve(node.clone(), socket);
+                tokio::spawn(stop.clone().run_until_cancelled_owned(serving));
+            }
+            Err(err) => {
+                log::warn!("event=accept_failed error={err}");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection.
+async fn serve(node: Node, socket: TcpStream) {
+    if let Err(err) = socket::prepare(&socket) {
+        log::warn!("event=socket_failed error={err}");
+        return;
+    }
+    let (reader, writer) = socket.into_split();
+    let (replies, queued) = mpsc::channel(REPLIES_MAX);
+    let writing = tokio::spawn(write_replies(FramedWrite::new(writer, codec()), queued));
+    let mut reader = FramedRead::new(reader, codec());
+    while let Some(Ok(frame)) = reader.next().await {
+        match decode::<Request>(&frame) {
+            Ok(request) => handle(&node, request, &replies).await,
+            Err(err) => {
+                log::warn!("event=bad_frame error={err}");
+                break;
+            }
+        }
+    }
+    drop(replies);
+    if let Err(err) = writing.await {
+        log::error!("event=writer_failed error={err}");
+    }
+}
+
+async fn write_replies(mut writer: FrameWriter, mut queued: mpsc::Receiver<Bytes>) {
+    while let Some(first) = queued.recv().await {
+        if write_frames(&mut writer, first, &mut queued).await.is_err() {
+            // The reading half notices that the client has gone.
+            return;
+        }
+    }
+}
+
+/// Carries out one call. Only answers that wait for the disk get a task.
+async fn handle(node: &Node, request: Request, replies: &mpsc::Sender<Bytes>) {
+    let (id, partition) = (request.id, request.partition);
+    if let Some(refusal) = refusal(node, &request) {
+        send(replies, id, refusal).await;
+        return;
+    }
+    match request.ask {
+        Ask::Open { turn, reserve, chain } => {
+            let answer = open(node, partition, turn, reserve, chain);
+            send(replies, id, answer).await;
+        }
+        Ask::Close { turn, settle, record } => {
+            close(node, id, partition, turn, settle, record, replies);
+        }
+        Ask::Account(program) => {
+            let spent = node.book().index(partition).account(&program);
+            send(replies, id, Answer::Account(spent)).await;
+        }
+        Ask::Fetch(turn) => {
+            let chain = node.book().index(partition).chain(&turn, Instant::now());
+            send(replies, id, Answer::Fetched(chain)).await;
+        }
+        Ask::Find { turn, .. } => {
+            let chain = node.book().find(&turn, Instant::now());
+            send(replies, id, Answer::Fetched(chain)).await;
+        }
+        Ask::Ping => send(replies, id, Answer::Here).await,
+        Ask::Status => {
+            let copied = node.book().copied(partition);
+            send(replies, id, Answer::Status { copied }).await;
+        }
+        Ask::Pull => {
+            let (node, replies) = (node.clone(), replies.clone());
+            tokio::spawn(async move {
+                send_all(&node, id, partition, request.epoch, &replies).await;
+            });
+        }
+    }
+}
+
+/// Refuses calls for another disk and of older epochs; learns of newer ones.
+fn refusal(node: &Node, request: &Request) -> Option<Answer> {
+    if request.disk != node.disk() {
+        return Some(Answer::OtherDisk);
+    }
+    let mut book = node.book();
+    let is_stale = match &request.ask {
+        Ask::Ping => false,
+        Ask::Find { epochs, .. } => book.is_ahead_of(epochs),
+        _ => request.epoch < book.epoch(request.partition),
+    };
+    if is_stale {
+        return Some(Answer::Stale(book.layout().clone()));
+    }
+    if matches!(request.ask, Ask::Ping | Ask::Find { .. }) {
+        return None;
+    }
+    // The line that keeps the epoch follows with the next sync.
+    let raised = book.raise(request.partition, request.epoch);
+    drop(book);
+    node.enqueue(raised.as_slice());
+    None
+}
+
+fn open(
+    node: &Node,
+    partition: u16,
+    turn: Name,
+    reserve: Option<(Name, u32)>,
+    chain: Option<Name>,
+) -> Answer {
+    let now = Instant::now();
+    let mut others = 0;
+    if let Some((program, tokens)) = reserve {
+        others = node.book().index(partition).others(&program, &turn);
+        let line = [(partition, Line::Reserve { program, turn, tokens })];
+        node.apply(&line);
+        node.enqueue(&line);
+    }
+    let chain: Option<Chain> = chain.map(|turn| node.book().index(partition).chain(&turn, now));
+    Answer::Opened { others, chain }
+}
+
+fn close(
+    node: &Node,
+    id: u64,
+    partition: u16,
+    turn: Name,
+    settle: Option<(Name, u32)>,
+    record: Option<TurnRecord>,
+    replies: &mpsc::Sender<Bytes>,
+) {
+    let is_awaited = record.is_some();
+    let settle = settle.map(|(program, tokens)| Line::Settle { program, turn, tokens });
+    let lines = settle.into_iter().chain(record.map(Line::Turn));
+    let lines: Vec<_> = lines.map(|line| (partition, line)).collect();
+    node.apply(&lines);
+    if !is_awaited {
+        node.enqueue(&lines);
+        return;
+    }
+    let (node, replies) = (node.clone(), replies.clone());
+    tokio::spawn(async move {
+        if node.write(&lines).await {
+            send(&replies, id, Answer::Closed).await;
+        }
+    });
+}
+
+/// Sends everything of a partition. Nothing of an older epoch is acknowledged
+/// from here on, also after a power loss.
+async fn send_all(node: &Node, id: u64, partition: u16, epoch: u64, replies: &mpsc::Sender<Bytes>) {
+    if !node.write(&[(partition, Line::Epoch(epoch))]).await {
+        return;
+    }
+    let lines = node.book().lines(partition);
+    for part in pull::parts(lines) {
+        send(replies, id, Answer::Part(part)).await;
+    }
+    send(replies, id, Answer::PulledAll).await;
+}
+
+async fn send(replies: &mpsc::Sender<Bytes>, id: u64, answer: Answer) {
+    // A failed send means that the client has gone; it asks again elsewhere.
+    let _ = replies.send(encode(&Reply { id, answer })).await;
+}
--- a/crates/gg-ledger/src/set.rs
+++ b/crates/gg-ledger/src/set.rs
@@ -1,13 +1,13 @@
-//! The set of ledger instances that count, and how it changes.
+//! The sets of ledger instances that count, one for each partition of the
+//! programs, and how they change.
 
 use std::net::SocketAddr;
 
 use gg_protocol::Name;
-use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-/// Name of the set's entry in the directory.
-pub const SET_NAME: &str = "set";
+/// Name of the layout's entry in the directory.
+pub const LAYOUT_NAME: &str = "layout";
 
 /// One instance's disk. An instance that lost its disk is another member.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -31,8 +31,82 @@
     pub since_ms: u64,
 }
 
-/// The members that count. While `next` is set, a write counts only when it
-/// is held by enough of both; readers still ask `members`.
+/// All partitions. Programs are hashed to them, so their number never
+/// changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Layout {
+    /// Sets by partition.
+    pub partitions: Vec<LedgerSet>,
+}
+
+impl Layout {
+    /// The first layout of `members`. With few of them there is one
+    /// partition; else as many as members, each on the next few in turn, so
+    /// that all carry alike.
+    pub fn found(members: &[Member], tolerated: usize) -> Self {
+        let size = (2 * tolerated + 1).min(members.len());
+        let ordered = alternate_centres(members);
+        let count = if members.len() <= size + 1 { 1 } else { members.len() };
+        let set = |first: usize| LedgerSet {
+            epoch: 1,
+            tolerated,
+            members: ordered.iter().cycle().skip(first).take(size).cloned().collect(),
+            next: None,
+        };
+        Layout { partitions: (0..count).map(set).collect() }
+    }
+
+    /// Partition of a program.
+    pub fn partition(&self, program: &str) -> u16 {
+        // FNV-1a: gateways of any version must agree.
+        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
+        let hash = program.bytes().fold(0xcbf2_9ce4_8422_2325, step);
+        ((hash ^ (hash >> 32)) % self.partitions.len().max(1) as u64) as u16
+    }
+
+    /// Every member of any set, each once.
+    pub fn members(&self) -> Vec<&Member> {
+        let mut members: Vec<&Member> = Vec::new();
+        for member in self.partitions.iter().flat_map(LedgerSet::all) {
+            if !members.contains(&member) {
+                members.push(member);
+            }
+        }
+        members
+    }
+
+    /// Partitions that a disk holds or is to hold.
+    pub fn count_of(&self, disk: u64) -> usize {
+        let holds = |set: &&LedgerSet| set.all().iter().any(|member| member.disk == disk);
+        self.partitions.iter().filter(holds).count()
+    }
+
+    /// Whether `other` is newer in no partition.
+    pub fn covers(&self, other: &Layout) -> bool {
+        other.partitions.len() <= self.partitions.len()
+            && self
+                .partitions
+                .iter()
+                .zip(&other.partitions)
+                .all(|(own, set)| own.epoch >= set.epoch)
+    }
+}
+
+/// Members in an order in which neighbours stand in different data centres.
+fn alternate_centres(members: &[Member]) -> Vec<Member> {
+    let mut sorted = members.to_vec();
+    sorted.sort_by(|a, b| (&a.centre, &a.instance).cmp(&(&b.centre, &b.instance)));
+    let mut rows: Vec<(usize, Member)> = Vec::new();
+    for member in sorted {
+        let before = rows.iter().filter(|(_, known)| known.centre == member.centre).count();
+        rows.push((before, member));
+    }
+    rows.sort_by_key(|(row, _)| *row);
+    rows.into_iter().map(|(_, member)| member).collect()
+}
+
+/// The members of one partition. While `next` is set, a write counts only
+/// when it is held by enough of both; readers still ask `members`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LedgerSet {
     /// Grows with each change.
@@ -78,7 +152,7 @@
         held(&self.members) && self.next.as_deref().is_none_or(held)
     }
 
-    /// Whether `readers`, all of them complete, have seen every write.
+    /// Whether `readers` have seen every write that counts.
     pub fn is_read(&self, readers: &[u64]) -> bool {
         let members = self.members.iter();
         let count = members.filter(|member| readers.contains(&member.disk)).count();
@@ -114,71 +188,3 @@
         LedgerSet { epoch: self.epoch + 1, next: None, ..self.clone() }
     }
 }
-
-/// What is to become of a set, from what one instance knows.
-pub(crate) struct Plan<'a, L, G> {
-    /// The present set, with no change under way.
-    pub(crate) set: &'a LedgerSet,
-    /// All instances by name.
-    pub(crate) registered: &'a IndexMap<Name, Registration>,
-    /// Whether an instance is to be emptied.
-    pub(crate) is_leaving: &'a G,
-    /// Whether a member or spare instance has not answered for long.
-    pub(crate) is_lost: &'a L,
-}
-
-impl<L, G> Plan<'_, L, G>
-where
-    L: Fn(&Member) -> bool,
-    G: Fn(&Name) -> bool,
-{
-    /// The members that the set should change to, if any.
-    pub(crate) fn next(&self) -> Option<Vec<Member>> {
-        let wanted = self.set.size_wanted();
-        let members = &self.set.members;
-        let spare = self.spares().next();
-        // One change at a time: each keeps all but one member.
-        let replaced = members.iter().position(|member| self.is_to_go(member));
-        let mut next = members.clone();
-        match (replaced, spare) {
-            (Some(index), Some(spare)) => next[index] = spare,
-            (Some(index), None) if (self.is_leaving)(&members[index].instance) => {
-                next.remove(index);
-            }
-            (None, Some(spare)) if members.len() < wanted => next.push(spare),
-            _ => return None,
-        }
-        (!next.is_empty()).then_some(next)
-    }
-
-    /// Whether this instance is the one that writes the change: the newcomer,
-    /// or the first that stays.
-    pub(crate) fn is_driver(&self, next: &[Member], disk: u64) -> bool {
-        let newcomer = next.iter().find(|member| !self.set.has(member.disk));
-        newcomer.or(next.first()).is_some_and(|member| member.disk == disk)
-    }
-
-    fn is_to_go(&self, member: &Member) -> bool {
-        let wiped = self.registered.get(&member.instance);
-        wiped.is_some_and(|found| found.member.disk != member.disk)
-            || (self.is_leaving)(&member.instance)
-            || (self.is_lost)(member)
-    }
-
-    /// Instances that could take a place. One that is back with an empty
-    /// disk comes first, as it takes its own place.
-    fn spares(&self) -> impl Iterator<Item = Member> {
-        let mut spares: Vec<_> = self
-            .registered
-            .values()
-            .filter(|found| !self.set.has(found.member.disk))
-            .filter(|found| !(self.is_leaving)(&found.member.instance))
-            .filter(|found| !(self.is_lost)(&found.member))
-            .collect();
-        spares.sort_by_key(|found| {
-            let own = self.set.members.iter().any(|m| m.instance == found.member.instance);
-            (!own, found.since_ms)
-        });
-        spares.into_iter().map(|found| found.member.clone())
-    }
-}
--- a/crates/gg-ledger/tests/log.rs
+++ b/crates/gg-ledger/tests/log.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::Path};
 
-use gg_ledger::{Line, LogFile, LogSettings, TurnRecord, encode_line};
+use gg_ledger::{Line, LogFile, LogSettings, Placed, Recovered, TurnRecord, encode_line};
 use proptest::prelude::*;
 use tempfile::TempDir;
 
@@ -10,17 +10,26 @@
     LogSettings { folder: folder.into(), checkpoint_bytes: 1 << 20 }
 }
 
-fn line(number: usize) -> Line {
-    Line::Turn(TurnRecord {
+/// Opens the log; returns its lines as well.
+fn open(folder: &Path) -> (LogFile, Recovered, Vec<Placed>) {
+    let mut lines = Vec::new();
+    let (log, recovered) = LogFile::open(settings(folder), |line| lines.push(line)).expect("open");
+    assert_eq!(recovered.lines, lines.len());
+    (log, recovered, lines)
+}
+
+fn line(number: usize) -> Placed {
+    let record = Line::Turn(TurnRecord {
         turn: format!("turn-{number}").into(),
         previous: None,
         text: vec![b'x'; number % 90].into(),
         upstream: "replica".into(),
         keep_ms: 1,
-    })
+    });
+    (number as u16 % 3, record)
 }
 
-fn encoded(lines: &[Line]) -> Vec<u8> {
+fn encoded(lines: &[Placed]) -> Vec<u8> {
     let mut buffer = Vec::new();
     lines.iter().for_each(|line| encode_line(line, &mut buffer));
     buffer
@@ -36,39 +45,38 @@
 #[test]
 fn survives_restarts() {
     let folder = TempDir::new().expect("folder");
-    let (mut log, first) = LogFile::open(settings(folder.path())).expect("open");
+    let (mut log, first, _) = open(folder.path());
     let lines: Vec<_> = (0..20).map(line).collect();
     log.append(&encoded(&lines[..10])).expect("append");
     drop(log);
-    let (mut log, second) = LogFile::open(settings(folder.path())).expect("open");
-    assert_eq!(second.lines, lines[..10]);
+    let (mut log, second, found) = open(folder.path());
+    assert_eq!(found, lines[..10]);
     log.append(&encoded(&lines[10..])).expect("append");
     drop(log);
-    let (_, third) = LogFile::open(settings(folder.path())).expect("open");
-    assert_eq!(third.lines, lines);
+    let (_, third, found) = open(folder.path());
+    assert_eq!(found, lines);
     assert_eq!((first.disk, second.disk), (third.disk, third.disk), "the same disk");
 }
 
 #[test]
 fn other_disk() {
     let folders = [TempDir::new().expect("folder"), TempDir::new().expect("folder")];
-    let disks = folders.map(|folder| LogFile::open(settings(folder.path())).expect("open").1.disk);
+    let disks = folders.map(|folder| open(folder.path()).1.disk);
     assert_ne!(disks[0], disks[1], "an empty disk is another one");
 }
 
 #[test]
 fn checkpoints() {
     let folder = TempDir::new().expect("folder");
-    let (mut log, _) = LogFile::open(settings(folder.path())).expect("open");
+    let (mut log, ..) = open(folder.path());
     let lines: Vec<_> = (0..50).map(line).collect();
     log.append(&encoded(&lines)).expect("append");
     log.checkpoint(&lines[40..]).expect("checkpoint");
     log.append(&encoded(&[line(50)])).expect("append");
     drop(log);
     fs::write(folder.path().join("00000099.tmp"), b"unfinished").expect("write");
-    let (_, found) = LogFile::open(settings(folder.path())).expect("open");
     let expected: Vec<_> = (40..51).map(line).collect();
-    assert_eq!(found.lines, expected);
+    assert_eq!(open(folder.path()).2, expected);
 }
 
 proptest! {
@@ -80,7 +88,7 @@
     #[test]
     fn torn_tails(synced in 0usize..20, unsynced in 1usize..20, keep in 0.0f64..1.0, flip: bool) {
         let folder = TempDir::new().expect("folder");
-        let (mut log, _) = LogFile::open(settings(folder.path())).expect("open");
+        let (mut log, ..) = open(folder.path());
         let lines: Vec<_> = (0..synced + unsynced).map(line).collect();
         let safe = encoded(&lines[..synced]).len();
         log.append(&encoded(&lines)).expect("append");
@@ -93,13 +101,13 @@
             _ => content.truncate(cut),
         }
         fs::write(&path, &content).expect("write");
-        let (mut log, found) = LogFile::open(settings(folder.path())).expect("open");
-        prop_assert!(found.lines.len() >= synced);
-        prop_assert_eq!(&found.lines[..], &lines[..found.lines.len()]);
+        let (mut log, _, found) = open(folder.path());
+        prop_assert!(found.len() >= synced);
+        prop_assert_eq!(&found[..], &lines[..found.len()]);
         log.append(&encoded(&[line(999)])).expect("append");
         drop(log);
-        let (_, again) = LogFile::open(settings(folder.path())).expect("open");
-        prop_assert_eq!(&again.lines[..found.lines.len()], &found.lines[..]);
-        prop_assert_eq!(again.lines.last(), Some(&line(999)));
+        let (.., again) = open(folder.path());
+        prop_assert_eq!(&again[..found.len()], &found[..]);
+        prop_assert_eq!(again.last(), Some(&line(999)));
     }
 }
--- a/crates/gg-platform/src/follow.rs
+++ b/crates/gg-platform/src/follow.rs
@@ -10,7 +10,8 @@
 /// How a kind is followed.
 #[derive(Clone, Copy, Debug)]
 pub struct FollowSettings {
-    /// Longest wait of one watch; each watch is a priced call.
+    /// Longest wait of one watch. Each watch is a priced call, and one whose
+    /// answer was lost costs this wait before it is noticed.
     pub wait: Duration,
     /// Pause after a watch that brought changes, so that changes that come
     /// close together cost one call; bounds how late they are heard of.
@@ -25,7 +26,7 @@
 impl Default for FollowSettings {
     fn default() -> Self {
         FollowSettings {
-            wait: Duration::from_secs(30),
+            wait: Duration::from_secs(10),
             gather: Duration::from_millis(250),
             pause: Duration::from_millis(50),
             pause_max: Duration::from_millis(500),
@@ -58,7 +59,8 @@
             Ok((next, news)) => {
                 pause = settings.pause;
                 revision = next;
-                let has_changes = matches!(&news, Some(News::Changes(changes)) if !changes.is_empty());
+                let has_changes =
+                    matches!(&news, Some(News::Changes(changes)) if !changes.is_empty());
                 news.into_iter().for_each(&mut take);
                 if has_changes {
                     time::sleep(settings.gather).await;
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -10,6 +10,17 @@
 /// Sections that a gateway's or ledger's settings may have.
 const SECTIONS: [&str; 5] = ["instance", "directory", "gateway", "ledger", "log"];
 
+/// Instances start within a third of a second of each other, on busy machines
+/// that take a while to run them.
+const FOUNDING_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Three heartbeats; a needless change costs a copy, no more.
+const IDLE_PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// Longer than a restart takes, as the member would be back with its disk
+/// before another one has copied it.
+const BUSY_PATIENCE: Duration = Duration::from_secs(8);
+
 /// How the platform's directory is reached.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DirectorySettings {
@@ -51,8 +62,13 @@
     pub tolerated: usize,
     /// Whether the whole deployment starts for the first time.
     pub is_founding: bool,
-    /// Time without an answer after which a member may be replaced.
-    pub lost_after: Duration,
+    /// Wait for all ledger instances to register before the first layout.
+    pub founding_wait: Duration,
+    /// Time without an answer after which an idle instance takes a member's
+    /// place.
+    pub idle_patience: Duration,
+    /// The same for an instance that holds other partitions.
+    pub busy_patience: Duration,
     /// Bytes of log after which it is written anew.
     pub checkpoint_bytes: u64,
 }
@@ -139,7 +155,9 @@
         folder: section.required("folder", "a folder on the disk").into(),
         tolerated: section.number("tolerated", 1, 0, 8),
         is_founding: section.flag("founding", false),
-        lost_after: section.millis("lost_after_ms", Duration::from_millis(1_200), 500, 600_000),
+        founding_wait: section.millis("founding_wait_ms", FOUNDING_WAIT, 0, 600_000),
+        idle_patience: section.millis("idle_patience_ms", IDLE_PATIENCE, 500, 600_000),
+        busy_patience: section.millis("busy_patience_ms", BUSY_PATIENCE, 500, 600_000),
         checkpoint_bytes: section.number("checkpoint_bytes", 128 << 20, 1 << 20, 1 << 40),
     };
     section.finish();
