--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use gg_ledger::Opened;
 use gg_protocol::{Code, Failure};
 use gg_route::Deployment;
 use http::Response;
@@ -33,6 +34,9 @@
 /// much is added at random so that they don't come back together.
 const RETRY_MS: u64 = 150;
 
+/// Way to another data centre and back, in ms; calls are small.
+const CALL_FAR_MS: f64 = 3.0;
+
 /// Random part of a replica's cost, in ms, so that equal ones share.
 const DRAW_MS: f64 = 2.0;
 
@@ -44,7 +48,7 @@
     let mut tries = job.tries();
     let mut tried = Vec::new();
     loop {
-        let place = place(state, job, &tried, &tries, None).await?;
+        let place = place(state, job, &tried, &tries, &Opened::default()).await?;
         tried.push(place.replica.upstream.id.clone());
         let replica = place.replica.clone();
         let began = Instant::now();
@@ -90,13 +94,13 @@
 }
 
 /// Takes a place on the best replica that was not tried yet; waits for one
-/// if all are full. `previous` ran the turn before.
+/// if all are full.
 pub(crate) async fn place<D: Deployment>(
     state: &State<D>,
     job: &Job,
     tried: &[gg_route::UpstreamId],
     tries: &Tries,
-    previous: Option<&str>,
+    opened: &Opened,
 ) -> Result<Place, Failure> {
     let left = job.deadline.saturating_duration_since(Instant::now());
     let limit = Instant::now() + left.mul_f64(WAIT_SHARE);
@@ -118,7 +122,7 @@
         if open.is_empty() {
             return Err(give_up("no replica is left to try"));
         }
-        if let Some(replica) = best(state, job, &open, previous) {
+        if let Some(replica) = best(state, job, &open, opened) {
             return Ok(replica.occupy());
         }
         if time::timeout_at(limit, notified).await.is_err() {
@@ -131,7 +135,7 @@
     state: &State<D>,
     job: &Job,
     open: &[&'a Arc<Replica>],
-    previous: Option<&str>,
+    opened: &Opened,
 ) -> Option<&'a Arc<Replica>> {
     let is_model = job.service.event_tokens > 0;
     let load_max = (job.service.connections / GATEWAYS).max(LOAD_MIN);
@@ -146,11 +150,15 @@
                 Some(prefix) if is_model => replica.is_warm(prefix),
                 _ => true,
             },
-            is_previous: !is_model || previous == Some(&*replica.upstream.id.name),
+            is_previous: !is_model || opened.upstream.as_ref() == Some(&replica.upstream.id.name),
             is_suspect: replica.is_suspect(),
             delay_ms: (replica.delay_ms() - fastest).max(0.0),
         })
         .collect();
+    let settings = match is_model {
+        true => ChoiceSettings::default(),
+        false => ChoiceSettings { far_ms: CALL_FAR_MS, ..ChoiceSettings::default() },
+    };
     let draw = || rand::rng().random_range(0.0..DRAW_MS);
-    choose(&candidates, &ChoiceSettings::default(), draw).map(|index| open[index])
+    choose(&candidates, opened.history.len(), &settings, draw).map(|index| open[index])
 }
--- a/crates/gg-gateway/src/choice.rs
+++ b/crates/gg-gateway/src/choice.rs
@@ -6,18 +6,19 @@
     /// One more request of ours on the replica: the others share its steps,
     /// and other gateways are believed to send it as much as we do.
     pub load_ms: f64,
-    /// Way to another data centre and back.
+    /// Another data centre: the way there and back, and the bytes of the
+    /// prompt, which are priced.
     pub far_ms: f64,
     /// Reading the shared beginning of a prompt that the replica has not
     /// read yet.
     pub cold_ms: f64,
-    /// Reading the rest of a chain that another replica ran before.
+    /// Reading 1,000 bytes of a chain that another replica ran before.
     pub moved_ms: f64,
 }
 
 impl Default for ChoiceSettings {
     fn default() -> Self {
-        ChoiceSettings { load_ms: 25.0, far_ms: 3.0, cold_ms: 50.0, moved_ms: 12.0 }
+        ChoiceSettings { load_ms: 25.0, far_ms: 40.0, cold_ms: 50.0, moved_ms: 2.0 }
     }
 }
 
@@ -40,30 +41,32 @@
     pub delay_ms: f64,
 }
 
-/// Index of the candidate with the least expected time; `draws` are random
-/// and break ties. `None` if all are full.
+/// Index of the candidate with the least expected time for a request that
+/// continues a chain of `history` bytes; draws are random and break ties.
+/// `None` if all are full.
 pub fn choose(
     candidates: &[Candidate],
+    history: usize,
     settings: &ChoiceSettings,
     mut draw: impl FnMut() -> f64,
 ) -> Option<usize> {
     let open =
         candidates.iter().enumerate().filter(|(_, candidate)| candidate.load < candidate.load_max);
     let costs = open.map(|(index, candidate)| {
-        (index, candidate.is_suspect, candidate.cost_ms(settings) + draw())
+        (index, candidate.is_suspect, candidate.cost_ms(history, settings) + draw())
     });
     let best = costs.min_by(|a, b| a.1.cmp(&b.1).then(a.2.total_cmp(&b.2)));
     best.map(|(index, _, _)| index)
 }
 
 impl Candidate {
-    fn cost_ms(&self, settings: &ChoiceSettings) -> f64 {
+    fn cost_ms(&self, history: usize, settings: &ChoiceSettings) -> f64 {
         let mut cost = self.delay_ms + f64::from(self.load) * settings.load_ms;
         if self.is_far {
             cost += settings.far_ms;
         }
         if !self.is_previous {
-            cost += settings.moved_ms;
+            cost += settings.moved_ms * history as f64 / 1e3;
             if !self.is_warm {
                 cost += settings.cold_ms;
             }
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -34,7 +34,7 @@
     let mut tries = job.tries();
     let mut tried = Vec::new();
     loop {
-        let place = place(state, job, &tried, &tries, opened.upstream.as_deref()).await?;
+        let place = place(state, job, &tried, &tries, &opened).await?;
         tried.push(place.replica.upstream.id.clone());
         let began = Instant::now();
         let sent = match send(state, job, &body, place).await {
