--- a/crates/gg-daemon/src/api.rs
+++ b/crates/gg-daemon/src/api.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     adopt,
-    home::Home,
-    shared::{Shared, lock},
+    home::{Home, HomeCell},
+    lock::lock,
+    shared::Shared,
 };
 
 /// Events that wait for a slow peer.
@@ -23,13 +24,14 @@
 /// Serves other daemons.
 pub(crate) struct Api {
     pub(crate) shared: Arc<Shared>,
+    pub(crate) homes: HomeCell,
 }
 
 impl Api {
     /// The home, if programs born in `birth` are here.
     async fn home_of(&self, birth: &JournalId) -> Result<Arc<Home>, Failure> {
         let not_here = || Failure::unknown(Code::HomeUnavailable, "the program is not here");
-        let home = self.shared.home().ok_or_else(not_here)?;
+        let home = self.homes.get().ok_or_else(not_here)?;
         match home.claims(birth).await {
             true => Ok(home),
             false => Err(not_here()),
@@ -57,8 +59,8 @@
         let home = match &request.parent {
             Some(parent) => self.home_of(&parent.birth).await,
             None => self
-                .shared
-                .home()
+                .homes
+                .get()
                 .ok_or_else(|| Failure::not_run(Code::HomeUnavailable, "no home is open here")),
         };
         Ok(match home {
@@ -141,7 +143,7 @@
     }
 
     async fn adopt(&self, journal: JournalId) -> RpcResult<bool> {
-        let Some(home) = self.shared.home() else { return Ok(false) };
+        let Some(home) = self.homes.get() else { return Ok(false) };
         match adopt::adopt(&home, &journal).await {
             Ok(adopted) => Ok(adopted),
             Err(err) => {
--- a/crates/gg-daemon/src/copies.rs
+++ b/crates/gg-daemon/src/copies.rs
@@ -10,7 +10,7 @@
 
 use gg_protocol::JournalId;
 
-use crate::shared::lock;
+use crate::lock::lock;
 
 /// Most bytes of copies kept for all daemons together.
 const MAX_BYTES: usize = 64 << 20;
--- a/crates/gg-daemon/src/crash.rs
+++ b/crates/gg-daemon/src/crash.rs
@@ -7,10 +7,7 @@
 use gg_protocol::Name;
 use tokio::{task::JoinSet, time};
 
-use crate::{
-    config::crash_key,
-    shared::{Shared, lock},
-};
+use crate::{config::crash_key, lock::lock, shared::Shared};
 
 /// Longest time that the peers get to hear of a crash before the caller
 /// gets its answer.
--- a/crates/gg-daemon/src/entry.rs
+++ b/crates/gg-daemon/src/entry.rs
@@ -18,9 +18,10 @@
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    home::Home,
+    home::{Home, HomeCell},
+    lock::lock,
     question::{End, Question, Read, ReadTurn},
-    shared::{Shared, lock},
+    shared::Shared,
 };
 
 /// Pause before a home is looked for again.
@@ -46,6 +47,7 @@
 #[derive(Clone)]
 pub(crate) struct Entry {
     shared: Arc<Shared>,
+    homes: HomeCell,
     owners: Arc<Mutex<HashMap<JournalId, JournalId>>>,
 }
 
@@ -55,7 +57,7 @@
     Peer(String),
 }
 
-/// How a relayed stream ended.
+/// End of a stream relayed from another daemon's home.
 enum Relay {
     /// The last event has been sent, or the caller has gone.
     Over,
@@ -64,14 +66,14 @@
 }
 
 impl Entry {
-    pub(crate) fn new(shared: Arc<Shared>) -> Self {
-        Entry { shared, owners: Arc::default() }
+    pub(crate) fn new(shared: Arc<Shared>, homes: HomeCell) -> Self {
+        Entry { shared, homes, owners: Arc::default() }
     }
 
     /// Finds the home of programs born in `birth`, through live daemons and
     /// seals; `None` if there is none right now.
     async fn locate(&self, birth: &JournalId) -> Option<Route> {
-        if let Some(home) = self.shared.home()
+        if let Some(home) = self.homes.get()
             && home.owns(birth)
             && home.journal.sealed_by().is_none()
         {
@@ -84,7 +86,7 @@
         }
         let owner = find_owner(&self.shared.platform, birth).await.ok()?;
         self.remember(birth, &owner);
-        if let Some(home) = self.shared.home()
+        if let Some(home) = self.homes.get()
             && *home.id() == owner
             && home.claims(birth).await
         {
@@ -269,7 +271,7 @@
     async fn start_here(&self, request: StartRequest) -> Result<StartReply, Failure> {
         let give_up = wall_ms() + SHORT_WAIT.as_millis() as u64;
         loop {
-            if let Some(home) = self.shared.home() {
+            if let Some(home) = self.homes.get() {
                 if !self.shared.is_draining() {
                     match home.start(request.clone()).await {
                         Err(failure) if failure.moved.is_some() => {}
--- a/crates/gg-daemon/src/forecast.rs
+++ b/crates/gg-daemon/src/forecast.rs
@@ -9,7 +9,7 @@
 use gg_protocol::{Name, Rank, config::RANKS};
 use rand::Rng;
 
-use crate::shared::lock;
+use crate::lock::lock;
 
 /// Weight of the newest observation.
 const WEIGHT: f64 = 0.1;
--- a/crates/gg-daemon/src/node.rs
+++ b/crates/gg-daemon/src/node.rs
@@ -16,7 +16,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    adopt, api::Api, entry::Entry, home::Home, operators::Operators, shared::Shared, tasks, upkeep,
+    adopt,
+    api::Api,
+    entry::Entry,
+    home::{Home, HomeCell},
+    operators::Operators,
+    shared::Shared,
+    tasks, upkeep,
 };
 
 quick_error! {
@@ -69,23 +75,32 @@
         .map_err(|err| DaemonError::Listen(settings.listen.peers.clone(), err))?;
     let kill = CancellationToken::new();
     let shared = Arc::new(Shared::new(settings, kill.clone()));
-    let entry = Entry::new(shared.clone());
+    let homes = HomeCell::default();
+    let entry = Entry::new(shared.clone(), homes.clone());
     let secret = Secret::new(&shared.settings.peer_key);
-    let server = gg_peer::serve(peers, secret, Api { shared: shared.clone() })
-        .map_err(|err| DaemonError::Listen(shared.settings.listen.peers.clone(), err))?;
-    tasks::spawn_all(&shared);
-    let homes = tokio::spawn(kill.clone().run_until_cancelled_owned(keep_home(shared.clone())));
+    let server =
+        gg_peer::serve(peers, secret, Api { shared: shared.clone(), homes: homes.clone() })
+            .map_err(|err| DaemonError::Listen(shared.settings.listen.peers.clone(), err))?;
+    tasks::spawn_all(&shared, &homes);
+    let keeping = tokio::spawn(
+        kill.clone().run_until_cancelled_owned(keep_home(shared.clone(), homes.clone())),
+    );
     let closed = CancellationToken::new();
-    let operating = Operators { shared: shared.clone(), entry: entry.clone(), stop: stop.clone() };
+    let operating = Operators {
+        shared: shared.clone(),
+        homes: homes.clone(),
+        entry: entry.clone(),
+        stop: stop.clone(),
+    };
     tokio::spawn(gg_operator::serve(operators, kill.child_token(), operating));
     let serving =
         tokio::spawn(gg_caller::serve(callers, caller_settings(&shared), closed.clone(), entry));
     log::info!("event=started callers={}", shared.settings.listen.callers);
     stop.cancelled().await;
-    drain(&shared, &closed).await;
+    drain(&shared, &homes, &closed).await;
     let _ = serving.await;
     kill.cancel();
-    let _ = homes.await;
+    let _ = keeping.await;
     let _ = server.stop();
     log::info!("event=stopped");
     Ok(())
@@ -112,7 +127,7 @@
 
 /// Keeps a home open: a new one follows when the journal of the last was
 /// sealed by another daemon.
-async fn keep_home(shared: Arc<Shared>) {
+async fn keep_home(shared: Arc<Shared>, homes: HomeCell) {
     loop {
         let home = match Home::open(shared.clone()).await {
             Ok(home) => home,
@@ -122,7 +137,8 @@
                 continue;
             }
         };
-        shared.set_home(Some(home.clone()));
+        shared.set_journal(Some(home.id().clone()));
+        homes.set(Some(home.clone()));
         let keeping = tokio::spawn(upkeep::run(home.clone()));
         let adopting = tokio::spawn(adopt_former(home.clone()));
         home.journal.fenced().cancelled().await;
@@ -131,7 +147,8 @@
         adopting.abort();
         home.close();
         if shared.is_draining() {
-            shared.set_home(None);
+            homes.set(None);
+            shared.set_journal(None);
             return;
         }
     }
@@ -151,12 +168,12 @@
 
 /// Planned stop: no new work, nothing under way is cut off, the programs
 /// are handed over.
-async fn drain(shared: &Arc<Shared>, closed: &CancellationToken) {
+async fn drain(shared: &Arc<Shared>, homes: &HomeCell, closed: &CancellationToken) {
     log::info!("event=drain");
     shared.drain();
     let give_up = time::Instant::now() + shared.settings.timing.drain;
     time::sleep(NOT_READY_TIME).await;
-    while let Some(home) = shared.home() {
+    while let Some(home) = homes.get() {
         let (programs, busy) = home.load();
         if busy > 0 && time::Instant::now() < give_up {
             time::sleep(DRAIN_PAUSE).await;
--- a/crates/gg-daemon/src/operators.rs
+++ b/crates/gg-daemon/src/operators.rs
@@ -13,7 +13,7 @@
 use subtle::ConstantTimeEq;
 use tokio_util::sync::CancellationToken;
 
-use crate::{config::PREFIX, entry::Entry, shared::Shared};
+use crate::{config::PREFIX, entry::Entry, home::HomeCell, shared::Shared};
 
 /// Tries to find out whether a change whose answer was lost was accepted.
 const READ_BACK_TRIES: usize = 20;
@@ -25,6 +25,7 @@
 #[derive(Clone)]
 pub(crate) struct Operators {
     pub(crate) shared: Arc<Shared>,
+    pub(crate) homes: HomeCell,
     pub(crate) entry: Entry,
     pub(crate) stop: CancellationToken,
 }
@@ -41,13 +42,13 @@
 
     fn is_ready(&self) -> bool {
         let configured = self.shared.config.get().revision > 0;
-        self.shared.home().is_some() && configured && !self.shared.is_draining()
+        self.homes.get().is_some() && configured && !self.shared.is_draining()
     }
 
     fn status(&self) -> DaemonStatus {
         let shared = &self.shared;
-        let (programs, busy) = shared.home().map_or((0, 0), |home| home.load());
-        let stalled = shared.home().is_some_and(|home| home.journal.is_stalled());
+        let (programs, busy) = self.homes.get().map_or((0, 0), |home| home.load());
+        let stalled = self.homes.get().is_some_and(|home| home.journal.is_stalled());
         let suspects = shared.membership.suspects();
         let peers = shared.membership.peers().into_iter().map(|peer| PeerStatus {
             suspected: suspects.contains(&peer.name),
--- a/crates/gg-daemon/src/shared.rs
+++ b/crates/gg-daemon/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, MutexGuard, RwLock,
+        Mutex, RwLock,
         atomic::{AtomicBool, Ordering},
     },
 };
@@ -18,7 +18,7 @@
 use gg_settings::DaemonSettings;
 use tokio_util::sync::CancellationToken;
 
-use crate::{config::ConfigCell, copies::Copies, forecast::Forecast, home::Home, metrics::Metrics};
+use crate::{config::ConfigCell, copies::Copies, forecast::Forecast, lock::lock, metrics::Metrics};
 
 /// State shared by the roles of one daemon.
 pub(crate) struct Shared {
@@ -39,7 +39,8 @@
     pub(crate) waits: Mutex<HashMap<Name, u64>>,
     /// Starts of engines by upstream, as last heard.
     pub(crate) epochs: Mutex<HashMap<Name, String>>,
-    home: RwLock<Option<Arc<Home>>>,
+    /// Journal of the present home, while there is one.
+    journal: RwLock<Option<JournalId>>,
     draining: AtomicBool,
     /// Cancelled when the daemon stops for good.
     pub(crate) stop: CancellationToken,
@@ -74,29 +75,23 @@
             retries: Mutex::default(),
             waits: Mutex::default(),
             epochs: Mutex::default(),
-            home: RwLock::default(),
+            journal: RwLock::default(),
             draining: AtomicBool::new(false),
             stop,
             settings,
         }
     }
 
-    /// The home role, while there is one.
-    pub(crate) fn home(&self) -> Option<Arc<Home>> {
-        self.home.read().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
-    }
-
-    /// Puts another home in place.
-    pub(crate) fn set_home(&self, home: Option<Arc<Home>>) {
-        *self.home.write().unwrap_or_else(|poisoned| poisoned.into_inner()) = home;
+    /// Says which journal the present home appends to.
+    pub(crate) fn set_journal(&self, journal: Option<JournalId>) {
+        *self.journal.write().unwrap_or_else(|poisoned| poisoned.into_inner()) = journal;
     }
 
     /// Journal of the present home, or one that never exists.
     pub(crate) fn journal_id(&self) -> JournalId {
-        match self.home() {
-            Some(home) => home.id().clone(),
-            None => JournalId { instance: self.settings.instance.clone(), incarnation: 0 },
-        }
+        let journal = self.journal.read().unwrap_or_else(|poisoned| poisoned.into_inner()).clone();
+        let none = || JournalId { instance: self.settings.instance.clone(), incarnation: 0 };
+        journal.unwrap_or_else(none)
     }
 
     /// Whether a planned stop is under way.
@@ -130,8 +125,3 @@
         lock(&self.quarantine).verdict(content)
     }
 }
-
-/// Locks a mutex; state behind it stays usable after a panic elsewhere.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
--- a/crates/gg-daemon/src/slot.rs
+++ b/crates/gg-daemon/src/slot.rs
@@ -17,7 +17,7 @@
 };
 use tokio::time;
 
-use crate::shared::{Shared, lock};
+use crate::{lock::lock, shared::Shared};
 
 /// Placements tried before the last one waits however long it takes.
 const BUSY_TRIES: usize = 2;
--- a/crates/gg-daemon/src/tasks.rs
+++ b/crates/gg-daemon/src/tasks.rs
@@ -15,7 +15,9 @@
 use crate::{
     adopt,
     config::{self, CRASH_PREFIX, PREFIX},
-    shared::{Shared, lock},
+    home::HomeCell,
+    lock::lock,
+    shared::Shared,
 };
 
 /// Pause after a watch that failed.
@@ -28,12 +30,12 @@
 const PAUSED_ROUNDS: u32 = 3;
 
 /// Starts all tasks.
-pub(crate) fn spawn_all(shared: &Arc<Shared>) {
-    spawn(shared, probe_peers);
+pub(crate) fn spawn_all(shared: &Arc<Shared>, homes: &HomeCell) {
+    spawn(shared, |shared| probe_peers(shared, homes.clone()));
     spawn(shared, read_instances);
     spawn(shared, list_config);
     spawn(shared, watch_config);
-    spawn(shared, adopt_dead);
+    spawn(shared, |shared| adopt_dead(shared, homes.clone()));
     spawn(shared, apply_config);
 }
 
@@ -47,7 +49,7 @@
 }
 
 /// Probes a few random peers each round.
-async fn probe_peers(shared: Arc<Shared>) {
+async fn probe_peers(shared: Arc<Shared>, homes: HomeCell) {
     let interval = shared.settings.timing.probe;
     let mut last = time::Instant::now();
     loop {
@@ -55,7 +57,7 @@
         if last.elapsed() > interval * PAUSED_ROUNDS {
             log::warn!("event=paused ms={}", last.elapsed().as_millis());
             shared.membership.forget_failures();
-            if let Some(home) = shared.home() {
+            if let Some(home) = homes.get() {
                 // Finds out at once whether the journal was sealed meanwhile.
                 let _ = home.journal.verify().await;
             }
@@ -224,10 +226,10 @@
 }
 
 /// Adopts the journals of dead daemons.
-async fn adopt_dead(shared: Arc<Shared>) {
+async fn adopt_dead(shared: Arc<Shared>, homes: HomeCell) {
     loop {
         time::sleep(shared.settings.timing.probe / 2).await;
-        if let Some(home) = shared.home() {
+        if let Some(home) = homes.get() {
             adopt::adopt_dead(&shared, &home).await;
             adopt::finish_begun(&home).await;
         }
--- a/crates/gg-daemon/src/upkeep.rs
+++ b/crates/gg-daemon/src/upkeep.rs
@@ -16,8 +16,8 @@
 
 use crate::{
     home::{Home, Resident, anchor_key},
+    lock::lock,
     outage,
-    shared::lock,
 };
 
 /// Time between two rounds.
