Logs through a writer of their own, metrics as text on an address

Change: gg-log (bounded writer, what is dropped is counted and said, standard output), gg-metrics (cadence into counters, gauges and histograms, read as text); request id in each line of the walk.

--- a/crates/gg-daemon/src/lib.rs
+++ b/crates/gg-daemon/src/lib.rs
@@ -10,7 +10,6 @@
 mod forecast;
 mod home;
 mod lock;
-mod logs;
 mod metrics;
 mod node;
 mod operators;
@@ -24,5 +23,4 @@
 mod tasks;
 mod upkeep;
 
-pub use logs::init_logs;
 pub use node::{DaemonError, run, run_until_signal, stop_on_signal};
--- a/crates/gg-daemon/src/metrics.rs
+++ b/crates/gg-daemon/src/metrics.rs
@@ -1,10 +1,12 @@
-//! Counters and timers, sent to a statsd server if one is set.
+//! Counters and timers, sent to a statsd server or read as text.
 
 use std::net::UdpSocket;
 
 use cadence::{
     BufferedUdpMetricSink, CountedExt, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
 };
+use gg_metrics::Registry;
+use gg_settings::LogSettings;
 
 /// Prefix of all metrics.
 const PREFIX: &str = "greengagefork";
@@ -13,23 +15,37 @@
 #[derive(Debug)]
 pub(crate) struct Metrics {
     client: StatsdClient,
+    registry: Registry,
+    /// The registry takes times in microseconds, statsd in milliseconds.
+    time_factor: u64,
 }
 
 impl Metrics {
-    pub(crate) fn new(address: &str, instance: &str) -> Self {
-        let client = udp_client(address, instance)
-            .unwrap_or_else(|| StatsdClient::from_sink(PREFIX, NopMetricSink));
-        Metrics { client }
+    pub(crate) fn new(settings: &LogSettings, instance: &str) -> Self {
+        let registry = Registry::default();
+        let client = match settings.metrics.is_empty() {
+            false => StatsdClient::from_sink(PREFIX, registry.clone()),
+            true => udp_client(&settings.statsd, instance)
+                .unwrap_or_else(|| StatsdClient::from_sink(PREFIX, NopMetricSink)),
+        };
+        let time_factor = if settings.metrics.is_empty() { 1 } else { 1_000 };
+        Metrics { client, registry, time_factor }
     }
 
-    /// Counts one event.
+    /// What is read on the metrics address.
+    pub(crate) fn registry(&self) -> Registry {
+        self.registry.clone()
+    }
+
+    /// Counts one event. Metrics that can't be sent are lost; they are no
+    /// reason to fail a call.
     pub(crate) fn count(&self, name: &str) {
         let _ = self.client.incr(name);
     }
 
     /// Records a time in ms.
     pub(crate) fn time(&self, name: &str, ms: u64) {
-        let _ = self.client.time(name, ms);
+        let _ = self.client.time(name, ms * self.time_factor);
     }
 }
 
--- a/crates/gg-daemon/src/node.rs
+++ b/crates/gg-daemon/src/node.rs
@@ -81,6 +81,11 @@
     let server =
         gg_peer::serve(peers, secret, Api { shared: shared.clone(), homes: homes.clone() })
             .map_err(|err| DaemonError::Listen(shared.settings.listen.peers.clone(), err))?;
+    if !shared.settings.log.metrics.is_empty() {
+        let metrics = listen(&shared.settings.log.metrics).await?;
+        let registry = shared.metrics.registry();
+        tokio::spawn(gg_metrics::serve_metrics(metrics, registry, || {}, kill.child_token()));
+    }
     tasks::spawn_all(&shared, &homes);
     let keeping = tokio::spawn(
         kill.clone().run_until_cancelled_owned(keep_home(shared.clone(), homes.clone())),
--- a/crates/gg-daemon/src/shared.rs
+++ b/crates/gg-daemon/src/shared.rs
@@ -70,7 +70,7 @@
             service: Service::default(),
             copies: Copies::default(),
             forecast: Forecast::default(),
-            metrics: Metrics::new(&settings.log.statsd, &settings.instance),
+            metrics: Metrics::new(&settings.log, &settings.instance),
             quarantine: Mutex::default(),
             retries: Mutex::default(),
             waits: Mutex::default(),
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -31,6 +31,7 @@
     follow(&state.dialect, kind, FollowSettings::default(), |news| {
         match &news {
             News::Lost(err) if !is_lost => {
+                state.metrics.count("directory_lost", &[("kind", kind.as_str())]);
                 log::warn!("event=directory_lost kind={} error={err}", kind.as_str());
                 is_lost = true;
             }
--- a/crates/gg-gateway/src/fleet.rs
+++ b/crates/gg-gateway/src/fleet.rs
@@ -80,6 +80,15 @@
         lock(&self.state).services.get(name).cloned()
     }
 
+    /// Number of replicas, of those that take work, and of our requests on
+    /// them.
+    pub(crate) fn counts(&self) -> (u64, u64, u64) {
+        let state = lock(&self.state);
+        let open = state.replicas.values().filter(|replica| replica.is_open()).count();
+        let load = state.replicas.values().map(|replica| u64::from(replica.load())).sum();
+        (state.replicas.len() as u64, open as u64, load)
+    }
+
     /// Whether any replica takes work.
     pub fn is_usable(&self) -> bool {
         lock(&self.state).replicas.values().any(|replica| replica.is_open())
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -4,6 +4,7 @@
 
 use gg_http::Limits;
 use gg_ledger::{Keeper, KeeperSettings, Ledger, Member, Node, NodeError, NodeSettings, Patience};
+use gg_metrics::{Metrics, Registry, serve_metrics};
 use gg_route::Deployment;
 use gg_settings::{GatewaySettings, LedgerSettings};
 use quick_error::quick_error;
@@ -52,7 +53,16 @@
     // Cancelled when nothing is under way any more.
     let stop = CancellationToken::new();
     let ledger = Ledger::new(settings.centre.clone(), stop.child_token());
-    let state = Arc::new(State::new(deployment, settings.centre.clone(), ledger));
+    let registry = Registry::default();
+    let metrics = Metrics::new(&registry);
+    let state = Arc::new(State::new(deployment, settings.centre.clone(), ledger, metrics));
+    if let Some(address) = settings.metrics {
+        let refresh = {
+            let state = state.clone();
+            move || state.refresh_gauges()
+        };
+        tokio::spawn(serve_metrics(listen(address)?, registry, refresh, stop.child_token()));
+    }
     tokio::spawn(discovery::run(state.clone(), stop.child_token()));
     tokio::spawn(ingress::serve_ready(ready, state.clone(), stop.child_token()));
     let closed = CancellationToken::new();
@@ -89,7 +99,20 @@
         folder: settings.folder.clone(),
         checkpoint_bytes: settings.checkpoint_bytes,
     };
-    let node = Node::start(node, stop.clone()).await?;
+    let registry = Registry::default();
+    let metrics = Metrics::new(&registry);
+    let node = Node::start(node, metrics.clone(), stop.clone()).await?;
+    if let Some(address) = settings.metrics {
+        let refresh = {
+            let (node, metrics) = (node.clone(), metrics.clone());
+            move || {
+                let (turns, programs) = node.len();
+                metrics.gauge("turns", turns as u64, &[]);
+                metrics.gauge("programs", programs as u64, &[]);
+            }
+        };
+        tokio::spawn(serve_metrics(listen(address)?, registry, refresh, stop.child_token()));
+    }
     let member = Member {
         instance: settings.instance.clone(),
         disk: node.disk(),
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -161,7 +161,12 @@
             keep_ms: u32::try_from(retention.0.as_millis()).unwrap_or(u32::MAX),
         };
         let tokens = Some(self.settle.tokens());
-        let kept = self.settle.state.ledger.close(&job.turn_key(), tokens, record).await;
+        let began = Instant::now();
+        let state = self.settle.state.clone();
+        let kept = state.ledger.close(&job.turn_key(), tokens, record).await;
+        let result = if kept.is_ok() { "ok" } else { "failed" };
+        let micros = began.elapsed().as_micros() as u64;
+        state.metrics.time("ledger_close", micros, &[("result", result)]);
         kept.map_err(RelayError::Unkept)?;
         self.settle.is_settled = true;
         Ok(())
@@ -170,6 +175,15 @@
     fn log_end(&self, error: Option<&RelayError>) {
         let job = &self.settle.job;
         let (id, events, ms) = (job.id(), self.settle.events, job.began.elapsed().as_millis());
+        let result = match error {
+            None => "whole",
+            Some(RelayError::Replica(_)) => "replica_broke_off",
+            Some(RelayError::Late) => "late",
+            Some(RelayError::Unkept(_)) => "unkept",
+        };
+        let metrics = &self.settle.state.metrics;
+        metrics.count("streams", &[("result", result)]);
+        metrics.time("stream", job.began.elapsed().as_micros() as u64, &[("result", result)]);
         match error {
             None => log::info!("event=streamed request={id} events={events} ms={ms}"),
             Some(err) => {
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -62,11 +62,27 @@
     job: &Job,
     body: &Bytes,
     place: Place,
+) -> Result<Sent, Outcome> {
+    let sent = try_send(state, job, body, place).await;
+    let outcome = match &sent {
+        Ok(_) => "answered",
+        Err(Outcome::Unsent) => "unsent",
+        Err(Outcome::Unexecuted) => "unexecuted",
+        Err(Outcome::Unknown) => "unknown",
+    };
+    state.metrics.count("sends", &[("kind", job.route.kind.as_str()), ("outcome", outcome)]);
+    sent
+}
+
+async fn try_send<D: Deployment>(
+    state: &State<D>,
+    job: &Job,
+    body: &Bytes,
+    place: Place,
 ) -> Result<Sent, Outcome> {
     let replica = place.replica.clone();
     let request = build(state, job, body, &replica);
-    let limit = job.deadline;
-    let answered = time::timeout_at(limit, exchange(job, &replica, request)).await;
+    let answered = time::timeout_at(job.deadline, exchange(job, &replica, request)).await;
     let (connection, response) = match answered {
         Ok(Ok(answered)) => answered,
         Ok(Err(outcome)) => {
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -6,6 +6,7 @@
 };
 
 use gg_ledger::Ledger;
+use gg_metrics::Metrics;
 use gg_protocol::Name;
 use gg_route::{Configuration, RouteTable};
 
@@ -18,13 +19,15 @@
     pub(crate) centre: Name,
     pub(crate) fleet: Fleet,
     pub(crate) ledger: Ledger,
+    pub(crate) metrics: Metrics,
     table: RwLock<Option<Arc<RouteTable>>>,
     is_stopping: AtomicBool,
 }
 
 impl<D> State<D> {
-    pub(crate) fn new(dialect: D, centre: Name, ledger: Ledger) -> Self {
+    pub(crate) fn new(dialect: D, centre: Name, ledger: Ledger, metrics: Metrics) -> Self {
         State {
+            metrics,
             dialect,
             centre,
             ledger,
@@ -56,6 +59,22 @@
         }
     }
 
+    /// Sets the gauges, just before they are read.
+    pub(crate) fn refresh_gauges(&self) {
+        let version = self.table().map_or(0, |table| table.version);
+        let (replicas, open, load) = self.fleet.counts();
+        for (name, value) in [
+            ("configuration_version", version),
+            ("replicas", replicas),
+            ("replicas_open", open),
+            ("replica_load", load),
+            ("ledger_ready", u64::from(self.ledger.is_ready())),
+            ("ready", u64::from(self.is_ready())),
+        ] {
+            self.metrics.gauge(name, value, &[]);
+        }
+    }
+
     /// Whether new connections should come here: not while turns can't be
     /// opened and closed, as another gateway may be better connected.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -80,7 +80,11 @@
     let turn = &job.envelope.turn;
     let request =
         OpenRequest { key: job.turn_key(), previous: turn.previous.clone(), budget: budget(job) };
-    match state.ledger.open(&request, job.deadline).await {
+    let began = Instant::now();
+    let opened = state.ledger.open(&request, job.deadline).await;
+    let result = if opened.is_ok() { "ok" } else { "failed" };
+    state.metrics.time("ledger_open", began.elapsed().as_micros() as u64, &[("result", result)]);
+    match opened {
         Ok(opened) => Ok(opened),
         Err(LedgerError::NoSuchTurn) => {
             Err(Failure::not_run(Code::NotFound, "the turn to continue from does not exist"))
--- a/crates/gg-gateway/src/walk.rs
+++ b/crates/gg-gateway/src/walk.rs
@@ -7,7 +7,7 @@
 use futures::Stream;
 use gg_ledger::TurnKey;
 use gg_protocol::{Code, Failure, Name};
-use gg_route::{Deployment, Envelope, Route, RouteKind, RouteTable, Service};
+use gg_route::{Deployment, Envelope, EnvelopeFault, Route, RouteKind, RouteTable, Service};
 use http::{Request, Response, header, request::Parts};
 use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
@@ -57,9 +57,12 @@
 ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, RelayError>> + Send> {
     let (head, body) = request.into_parts();
     let began = Instant::now();
-    let mut response = match admit(&state, head, body, began).await {
+    let envelope = state.dialect.envelope(&head.headers);
+    let id = envelope.as_ref().map_or_else(|_| "-".into(), |envelope| envelope.request.clone());
+    let mut response = match admit(&state, envelope, head, body, began).await {
         Err(failure) => {
-            log::info!("event=not_admitted reason={failure}");
+            log::info!("event=not_admitted request={id} reason={failure}");
+            state.metrics.count("not_admitted", &[("reason", failure.code.as_str())]);
             answer::failure(&failure).map(Either::Left)
         }
         Ok(job) => {
@@ -68,7 +71,7 @@
                 RouteKind::Stream => stream::run(&state, &job).await,
                 _ => call::run(&state, &job).await.map(|response| response.map(Either::Left)),
             };
-            finish(&job, answered)
+            finish(&state, &job, answered)
         }
     };
     if state.is_stopping() || !state.ledger.is_ready() {
@@ -80,9 +83,17 @@
 }
 
 /// Logs how a request ended, or how its stream began.
-fn finish<S>(job: &Job, answered: Result<Answer<S>, Failure>) -> Answer<S> {
+fn finish<D, S>(state: &State<D>, job: &Job, answered: Result<Answer<S>, Failure>) -> Answer<S> {
     let ms = job.began.elapsed().as_millis();
     let (id, kind, route) = (job.id(), job.route.kind.as_str(), &job.route.name);
+    let result = match &answered {
+        Ok(response) => response.status().as_str().to_owned(),
+        Err(failure) => failure.code.as_str().to_owned(),
+    };
+    let rank = job.route.rank.to_string();
+    let tags = [("kind", kind), ("rank", &rank), ("result", &result)];
+    state.metrics.count("requests", &tags);
+    state.metrics.time("head", job.began.elapsed().as_micros() as u64, &tags[..2]);
     match answered {
         Ok(response) => {
             let status = response.status().as_u16();
@@ -103,6 +114,7 @@
 /// Reads a request and finds its route.
 async fn admit<D: Deployment>(
     state: &State<D>,
+    envelope: Result<Envelope, EnvelopeFault>,
     head: Parts,
     body: Incoming,
     began: Instant,
@@ -111,10 +123,7 @@
         return Err(Failure::not_run(Code::PlatformUnavailable, "no configuration is known yet")
             .retry_in(UNCONFIGURED_RETRY_MS));
     };
-    let envelope = state
-        .dialect
-        .envelope(&head.headers)
-        .map_err(|err| Failure::not_run(Code::BadRequest, err.to_string()))?;
+    let envelope = envelope.map_err(|err| Failure::not_run(Code::BadRequest, err.to_string()))?;
     let route = find(&table, &head)?;
     let service = backend(&table, &route, &envelope)?;
     let limit = envelope.deadline.unwrap_or(route.timeout).min(route.timeout);
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use gg_metrics::Metrics;
 use quick_error::quick_error;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -70,6 +71,7 @@
     disk: u64,
     book: Mutex<Book>,
     commits: mpsc::Sender<Commit>,
+    metrics: Metrics,
 }
 
 /// Lines on their way to the disk.
@@ -83,7 +85,11 @@
     /// Reads the log and starts the instance; it runs until `stop` is
     /// cancelled. If the log can't be written any more, `stop` is cancelled
     /// by the instance itself, as nothing can be acknowledged then.
-    pub async fn start(settings: NodeSettings, stop: CancellationToken) -> Result<Self, NodeError> {
+    pub async fn start(
+        settings: NodeSettings,
+        metrics: Metrics,
+        stop: CancellationToken,
+    ) -> Result<Self, NodeError> {
         let log = LogSettings {
             folder: settings.folder.clone(),
             checkpoint_bytes: settings.checkpoint_bytes,
@@ -104,7 +110,7 @@
             recovered.torn_bytes
         );
         let (commits, waiting) = mpsc::channel(COMMITS_MAX);
-        let shared = Shared { disk: recovered.disk, book: Mutex::new(book), commits };
+        let shared = Shared { disk: recovered.disk, book: Mutex::new(book), commits, metrics };
         let node = Node { shared: Arc::new(shared) };
         let listener = socket::listen(settings.listen)
             .map_err(|err| NodeError::Listen(settings.listen, err))?;
@@ -223,6 +229,8 @@
                 encoded.extend_from_slice(&more.encoded);
                 done.extend(more.done);
             }
+            let began = Instant::now();
+            let bytes = encoded.len() as u64;
             let checkpoint = log.is_checkpoint_due().then(|| self.book().all_lines());
             let written = task::spawn_blocking(move || {
                 log.append(&encoded)?;
@@ -239,6 +247,9 @@
                     return;
                 }
             };
+            let metrics = &self.shared.metrics;
+            metrics.time("log_sync", began.elapsed().as_micros() as u64, &[]);
+            metrics.add("log_bytes", bytes, &[]);
             for done in done {
                 // The caller may have gone; the line stands.
                 let _ = done.send(());
--- /dev/null
+++ b/crates/gg-metrics/src/server.rs
@@ -0,0 +1,28 @@
+//! Listener on which metrics are read.
+
+use bytes::Bytes;
+use gg_http::{Body, Limits};
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::Registry;
+
+/// Answers each request with all metrics until `stop` is cancelled. `refresh`
+/// sets gauges just before.
+pub async fn serve_metrics(
+    listener: TcpListener,
+    registry: Registry,
+    refresh: impl Fn() + Clone + Send + Sync + 'static,
+    stop: CancellationToken,
+) {
+    let handler = move |_request: Request<Incoming>| {
+        refresh();
+        let mut response = Response::new(Body::from(Bytes::from(registry.render())));
+        let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        async move { response }
+    };
+    gg_http::serve(listener, Limits::default(), stop, handler).await;
+}
--- a/crates/gg-settings/src/daemon.rs
+++ b/crates/gg-settings/src/daemon.rs
@@ -119,15 +119,22 @@
 pub struct LogSettings {
     /// Least severe level that is written.
     pub level: String,
-    /// File to write to; standard error if empty.
+    /// File to write to; standard output if empty.
     pub file: String,
-    /// `ip:port` of a statsd server; no metrics if empty.
+    /// `ip:port` of a statsd server; none if empty.
     pub statsd: String,
+    /// `ip:port` on which metrics are read as text; none if empty.
+    pub metrics: String,
 }
 
 impl Default for LogSettings {
     fn default() -> Self {
-        LogSettings { level: "info".into(), file: String::new(), statsd: String::new() }
+        LogSettings {
+            level: "info".into(),
+            file: String::new(),
+            statsd: String::new(),
+            metrics: String::new(),
+        }
     }
 }
 
@@ -286,12 +293,15 @@
         level: section.text_or("level", &default.level),
         file: section.text_or("file", &default.file),
         statsd: section.text_or("statsd", &default.statsd),
+        metrics: section.text_or("metrics", &default.metrics),
     };
     if log.level.parse::<Level>().is_err() {
         section.fault("level", &log.level, "error, warn, info, debug or trace");
     }
-    if !log.statsd.is_empty() && log.statsd.parse::<std::net::SocketAddr>().is_err() {
-        section.fault("statsd", &log.statsd, "an IP address and port, or nothing");
+    for (key, address) in [("statsd", &log.statsd), ("metrics", &log.metrics)] {
+        if !address.is_empty() && address.parse::<std::net::SocketAddr>().is_err() {
+            section.fault(key, address, "an IP address and port, or nothing");
+        }
     }
     section.finish();
     log
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -45,6 +45,8 @@
     pub connections: usize,
     /// Time from SIGTERM to the end of the process, at most.
     pub grace: Duration,
+    /// Where metrics are read as text, if anywhere.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// Settings of a ledger instance.
@@ -71,6 +73,8 @@
     pub busy_patience: Duration,
     /// Bytes of log after which it is written anew.
     pub checkpoint_bytes: u64,
+    /// Where metrics are read as text, if anywhere.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// Settings of one process, by the part that it plays.
@@ -116,10 +120,12 @@
         let centre = crate::daemon::instance_name(&instance, "data_centre");
         instance.finish();
         let settings = if is_gateway {
-            let gateway = read_gateway(section("gateway"), name, centre);
+            let mut gateway = read_gateway(section("gateway"), name, centre);
+            gateway.metrics = log.metrics.parse().ok();
             Settings::Gateway(gateway, directory, log)
         } else {
-            let ledger = read_ledger(section("ledger"), name, centre);
+            let mut ledger = read_ledger(section("ledger"), name, centre);
+            ledger.metrics = log.metrics.parse().ok();
             Settings::Ledger(ledger, directory, log)
         };
         let faults = faults.into_inner();
@@ -142,6 +148,7 @@
         ready: section.socket("ready"),
         connections: section.number("connections", 2_000, 1, 65_536),
         grace: Duration::from_secs_f64(section.number("grace_s", 8.0, 1.0, 600.0)),
+        metrics: None,
     };
     section.finish();
     gateway
@@ -159,6 +166,7 @@
         idle_patience: section.millis("idle_patience_ms", IDLE_PATIENCE, 500, 600_000),
         busy_patience: section.millis("busy_patience_ms", BUSY_PATIENCE, 500, 600_000),
         checkpoint_bytes: section.number("checkpoint_bytes", 128 << 20, 1 << 20, 1 << 40),
+        metrics: None,
     };
     section.finish();
     ledger
--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -27,7 +27,7 @@
             return ExitCode::FAILURE;
         }
     };
-    gg_daemon::init_logs(&settings.log, &settings.instance).expect("log");
+    gg_log::init_logs(&settings.log, &settings.instance).expect("log");
     let runtime = Builder::new_multi_thread()
         .worker_threads(settings.workers)
         .enable_all()
--- a/src/bin/greengageforkd.rs
+++ b/src/bin/greengageforkd.rs
@@ -4,8 +4,9 @@
 
 use argh::FromArgs;
 use gg_adapter::{Adapter, AdapterSettings};
-use gg_daemon::{init_logs, run_until_signal, stop_on_signal};
+use gg_daemon::{run_until_signal, stop_on_signal};
 use gg_gateway::{run_gateway, run_ledger};
+use gg_log::init_logs;
 use gg_settings::{DirectorySettings, LogSettings, SAMPLE, Settings};
 use mimalloc::MiMalloc;
 use tokio::{
@@ -156,8 +157,12 @@
         }
     };
     match runtime.block_on(program) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => {
+            log::logger().flush();
+            ExitCode::SUCCESS
+        }
         Err(err) => {
+            log::error!("event=failed error={err}");
             eprintln!("error: {err}");
             ExitCode::FAILURE
         }
