Gateways hear of the directory from ledger instances

Change: ledger instances mirror configuration and replicas; a gateway asks two of them, in two data centres, every 300 ms, and follows the directory itself only while none is up to date.

--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -1,50 +1,88 @@
-//! Follows the directory: configuration, replicas and ledger members.
+//! Learns of configuration, replicas and ledger members: from ledger
+//! instances, which follow the directory for all gateways, and from the
+//! directory itself while no ledger instance is up to date. At hundreds of
+//! gateways the directory's calls then grow with the ledger instances alone,
+//! and a gateway that the directory turns away hears from its neighbours.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
 
 use gg_ledger::LAYOUT_NAME;
-use gg_platform::{Change, Entry, FollowSettings, Kind, News, follow};
+use gg_platform::{Change, Entry, FollowSettings, Kind, MirrorNews, News, follow};
 use gg_route::Deployment;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
-use crate::state::State;
+use crate::{
+    freshness::{FRESH_TIME, Freshness},
+    state::{State, lock},
+};
+
+/// Kinds that a gateway learns of.
+const KINDS: [Kind; 3] = [Kind::Configuration, Kind::Upstreams, Kind::Ledgers];
+
+/// Time between two questions to the ledger instances; part of how late a
+/// change is heard of.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time after the start in which the ledger instances are waited for before
+/// kinds other than theirs are asked of the directory.
+const START_PATIENCE: Duration = Duration::from_millis(2_500);
 
 /// Time between two looks for replicas whose entries did not come back.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Follows all kinds until `stop` is cancelled.
+/// What is known of one kind.
+struct Followed<'a, D> {
+    state: &'a State<D>,
+    kind: Kind,
+    /// Revision of the content in force.
+    revision: Mutex<u64>,
+    freshness: Mutex<Freshness>,
+    is_lost: AtomicBool,
+}
+
+/// Learns of all kinds until `stop` is cancelled.
 pub(crate) async fn run<D: Deployment>(state: Arc<State<D>>, stop: CancellationToken) {
+    let kinds = KINDS.map(|kind| Followed {
+        state: &state,
+        kind,
+        revision: Mutex::default(),
+        freshness: Mutex::default(),
+        is_lost: AtomicBool::new(false),
+    });
+    let [configuration, upstreams, ledgers] = &kinds;
     let work = async {
         tokio::join!(
-            follow_kind(&state, Kind::Configuration, take_configuration),
-            follow_kind(&state, Kind::Upstreams, take_upstreams),
-            follow_kind(&state, Kind::Ledgers, take_ledgers),
+            configuration.follow_directly(START_PATIENCE),
+            upstreams.follow_directly(START_PATIENCE),
+            ledgers.follow_directly(Duration::ZERO),
+            ask_ledgers(&state, &kinds),
             sweep(&state),
         );
     };
     stop.run_until_cancelled(work).await;
 }
 
-async fn follow_kind<D: Deployment>(state: &State<D>, kind: Kind, take: impl Fn(&State<D>, News)) {
-    let mut is_lost = false;
-    follow(&state.dialect, kind, FollowSettings::default(), |news| {
-        match &news {
-            News::Lost(err) if !is_lost => {
-                state.metrics.count("directory_lost", &[("kind", kind.as_str())]);
-                log::warn!("event=directory_lost kind={} error={err}", kind.as_str());
-                is_lost = true;
-            }
-            News::Lost(_) => {}
-            _ if is_lost => {
-                log::info!("event=directory_regained kind={}", kind.as_str());
-                is_lost = false;
+/// Asks the ledger instances again and again what is new.
+async fn ask_ledgers<D: Deployment>(state: &State<D>, kinds: &[Followed<'_, D>]) {
+    loop {
+        let known: Vec<(Kind, u64)> =
+            kinds.iter().map(|followed| (followed.kind, *lock(&followed.revision))).collect();
+        for answer in state.ledger.news(&known).await {
+            for news in answer {
+                if let Some(followed) = kinds.iter().find(|followed| followed.kind == news.kind) {
+                    followed.take_mirrored(news);
+                }
             }
-            _ => {}
         }
-        take(state, news);
-    })
-    .await;
+        time::sleep(ASK_INTERVAL).await;
+    }
 }
 
 async fn sweep<D>(state: &State<D>) {
@@ -54,6 +92,82 @@
     }
 }
 
+impl<D: Deployment> Followed<'_, D> {
+    /// Whether a ledger instance that is up to date answered lately.
+    fn is_fresh(&self) -> bool {
+        lock(&self.freshness).is_fresh(Instant::now())
+    }
+
+    /// Follows the directory itself while no ledger instance is up to date.
+    async fn follow_directly(&self, patience: Duration) {
+        time::sleep(patience).await;
+        loop {
+            while self.is_fresh() {
+                time::sleep(FRESH_TIME).await;
+            }
+            log::info!("event=directory_followed kind={}", self.kind.as_str());
+            let following =
+                follow(&self.state.dialect, self.kind, FollowSettings::default(), |news| {
+                    self.take_direct(news);
+                });
+            let relieved = async {
+                while !self.is_fresh() {
+                    time::sleep(FRESH_TIME).await;
+                }
+            };
+            tokio::select! {
+                () = following => {}
+                () = relieved => {}
+            }
+        }
+    }
+
+    fn take_mirrored(&self, news: MirrorNews) {
+        if lock(&self.freshness).note(news.is_current, Instant::now()) {
+            self.state.fleet.note_lost();
+        }
+        if let Some(entries) = news.entries {
+            self.take(News::Snapshot(news.revision, entries));
+        }
+    }
+
+    fn take_direct(&self, news: News) {
+        let is_lost = matches!(news, News::Lost(_));
+        if self.is_lost.swap(is_lost, Ordering::Relaxed) != is_lost {
+            let kind = self.kind.as_str();
+            match &news {
+                News::Lost(err) => {
+                    self.state.metrics.count("directory_lost", &[("kind", kind)]);
+                    log::warn!("event=directory_lost kind={kind} error={err}");
+                }
+                _ => log::info!("event=directory_regained kind={kind}"),
+            }
+        }
+        self.take(news);
+    }
+
+    /// Puts news in force unless newer ones already are.
+    fn take(&self, news: News) {
+        if let News::Snapshot(revision, _) | News::Changes(revision, _) = &news {
+            let mut known = lock(&self.revision);
+            if *revision < *known {
+                log::debug!(
+                    "event=news_old kind={} revision={revision} known={known}",
+                    self.kind.as_str()
+                );
+                return;
+            }
+            *known = *revision;
+        }
+        match self.kind {
+            Kind::Configuration => take_configuration(self.state, news),
+            Kind::Upstreams => take_upstreams(self.state, news),
+            Kind::Ledgers => take_ledgers(self.state, news),
+            Kind::Removals => {}
+        }
+    }
+}
+
 fn take_configuration<D: Deployment>(state: &State<D>, news: News) {
     for entry in present(news) {
         match state.dialect.configuration(&entry) {
@@ -72,10 +186,10 @@
         }
     };
     match news {
-        News::Snapshot(entries) => {
+        News::Snapshot(_, entries) => {
             state.fleet.replace(entries.iter().filter_map(read).collect());
         }
-        News::Changes(changes) => {
+        News::Changes(_, changes) => {
             for change in changes {
                 match change {
                     Change::Removed(name) => state.fleet.remove(&name),
@@ -103,8 +217,8 @@
 /// The entries that news say are there.
 fn present(news: News) -> Vec<Entry> {
     match news {
-        News::Snapshot(entries) => entries,
-        News::Changes(changes) => changes
+        News::Snapshot(_, entries) => entries,
+        News::Changes(_, changes) => changes
             .into_iter()
             .filter_map(|change| match change {
                 Change::Put(entry) => Some(entry),
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod choice;
 mod discovery;
 mod fleet;
+mod freshness;
 mod ingress;
 mod instance;
 mod pool;
@@ -22,5 +23,6 @@
 
 pub use choice::{Candidate, ChoiceSettings, choose};
 pub use fleet::Fleet;
+pub use freshness::{FRESH_TIME, Freshness};
 pub use instance::{GatewayError, run_gateway, run_ledger};
 pub use retry::{Next, Outcome, Tries};
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -8,8 +8,10 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use futures::{StreamExt, stream::FuturesUnordered};
+use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
+use gg_platform::{Kind, MirrorNews};
 use gg_protocol::Name;
+use rand::seq::SliceRandom;
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 
@@ -40,6 +42,9 @@
 /// put together before a turn is let through or refused.
 const EXACT_TURNS: u64 = 3;
 
+/// Longest wait for an instance's news of the directory.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Pause between two looks whether enough members are connected.
 const CONNECT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -148,6 +153,35 @@
         count > 0 && (0..count).all(|partition| self.view(partition as u16).is_usable())
     }
 
+    /// Asks two instances, the nearest and one in another data centre, what
+    /// is new in the directory since these revisions.
+    pub async fn news(&self, known: &[(Kind, u64)]) -> Vec<Vec<MirrorNews>> {
+        let scope = Scope { partition: 0, epoch: 0 };
+        let calls = self.news_sources().into_iter().map(async |link| {
+            let call = link.call(scope, Ask::News(known.to_vec()));
+            match time::timeout(NEWS_TIMEOUT, call).await {
+                Ok(Ok(Answer::News(news))) => Some(news),
+                _ => None,
+            }
+        });
+        join_all(calls).await.into_iter().flatten().collect()
+    }
+
+    fn news_sources(&self) -> Vec<Arc<Link>> {
+        let state = lock(&self.state);
+        let mut usable: Vec<&Arc<Link>> =
+            state.links.all().filter(|link| link.is_usable()).collect();
+        usable.shuffle(&mut rand::rng());
+        usable.sort_by_key(|link| link.member.centre != self.centre);
+        let Some(first) = usable.first() else { return Vec::new() };
+        let other = usable.iter().find(|link| link.member.centre != first.member.centre);
+        [Some(first), other.or(usable.get(1))]
+            .into_iter()
+            .flatten()
+            .map(|link| (*link).clone())
+            .collect()
+    }
+
     fn partition(&self, key: &TurnKey) -> u16 {
         lock(&self.state).layout.partition(key.program.as_ref().unwrap_or(&key.turn))
     }
--- a/crates/gg-ledger/src/keeper.rs
+++ b/crates/gg-ledger/src/keeper.rs
@@ -86,7 +86,13 @@
     /// Runs until `stop` is cancelled.
     pub async fn run(self, stop: CancellationToken) {
         let work = async {
-            tokio::join!(self.follow_ledgers(), self.follow_removals(), self.keep());
+            tokio::join!(
+                self.follow_ledgers(),
+                self.follow_removals(),
+                self.mirror(Kind::Configuration),
+                self.mirror(Kind::Upstreams),
+                self.keep(),
+            );
         };
         stop.run_until_cancelled(work).await;
     }
@@ -97,14 +103,15 @@
 
     async fn follow_ledgers(&self) {
         follow(&self.directory, Kind::Ledgers, FollowSettings::default(), |news| {
+            self.node.mirror().take(Kind::Ledgers, &news);
             let mut known = self.known();
             match news {
-                News::Snapshot(entries) => {
+                News::Snapshot(_, entries) => {
                     known.registered.clear();
                     known.is_listed = true;
                     entries.iter().for_each(|entry| self.take(&mut known, entry));
                 }
-                News::Changes(changes) => {
+                News::Changes(_, changes) => {
                     for change in changes {
                         match change {
                             Change::Put(entry) => self.take(&mut known, &entry),
@@ -140,15 +147,26 @@
         }
     }
 
+    /// Follows a kind for the gateways.
+    async fn mirror(&self, kind: Kind) {
+        follow(&self.directory, kind, FollowSettings::default(), |news| {
+            if let News::Lost(err) = &news {
+                log::warn!("event=directory_lost kind={} error={err}", kind.as_str());
+            }
+            self.node.mirror().take(kind, &news);
+        })
+        .await;
+    }
+
     async fn follow_removals(&self) {
         follow(&self.directory, Kind::Removals, FollowSettings::default(), |news| {
             let mut known = self.known();
             match news {
-                News::Snapshot(entries) => {
+                News::Snapshot(_, entries) => {
                     known.leaving =
                         entries.iter().map(|entry| entry.name.as_str().into()).collect();
                 }
-                News::Changes(changes) => {
+                News::Changes(_, changes) => {
                     for change in changes {
                         match change {
                             Change::Put(entry) => known.leaving.insert(entry.name.as_str().into()),
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -9,6 +9,7 @@
 };
 
 use gg_metrics::Metrics;
+use gg_platform::Mirror;
 use quick_error::quick_error;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -70,6 +71,8 @@
 struct Shared {
     disk: u64,
     book: Mutex<Book>,
+    /// Copy of the directory for the gateways.
+    mirror: Mutex<Mirror>,
     commits: mpsc::Sender<Commit>,
     metrics: Metrics,
 }
@@ -110,7 +113,13 @@
             recovered.torn_bytes
         );
         let (commits, waiting) = mpsc::channel(COMMITS_MAX);
-        let shared = Shared { disk: recovered.disk, book: Mutex::new(book), commits, metrics };
+        let shared = Shared {
+            disk: recovered.disk,
+            book: Mutex::new(book),
+            mirror: Mutex::default(),
+            commits,
+            metrics,
+        };
         let node = Node { shared: Arc::new(shared) };
         let listener = socket::listen(settings.listen)
             .map_err(|err| NodeError::Listen(settings.listen, err))?;
@@ -140,6 +149,10 @@
         lock(&self.shared.book)
     }
 
+    pub(crate) fn mirror(&self) -> MutexGuard<'_, Mirror> {
+        lock(&self.shared.mirror)
+    }
+
     /// Takes in a newer layout.
     pub(crate) fn set_layout(&self, layout: Layout) {
         let lines = {
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::SinkExt;
+use gg_platform::{Kind, MirrorNews};
 use gg_protocol::Name;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -68,6 +69,8 @@
     },
     /// Show that the instance is there.
     Ping,
+    /// Tell what is new in the directory since these revisions.
+    News(Vec<(Kind, u64)>),
     /// Tell how far the partition is copied.
     Status,
     /// Send everything of the partition, as [`Answer::Part`]s.
@@ -101,6 +104,8 @@
     Fetched(Chain),
     /// Reply to [`Ask::Ping`].
     Here,
+    /// Reply to [`Ask::News`].
+    News(Vec<MirrorNews>),
     /// Reply to [`Ask::Status`].
     Status {
         /// Epoch for which the instance has copied everything, if it did.
--- a/crates/gg-platform/src/directory.rs
+++ b/crates/gg-platform/src/directory.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::PlatformError;
 
 /// Kind of entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Kind {
     /// The operators' configuration.
     Configuration,
@@ -33,7 +34,7 @@
 }
 
 /// One entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Name within its kind.
     pub name: String,
--- a/crates/gg-platform/src/follow.rs
+++ b/crates/gg-platform/src/follow.rs
@@ -37,10 +37,10 @@
 /// What following a kind brings.
 #[derive(Debug)]
 pub enum News {
-    /// All entries; what is not among them is gone.
-    Snapshot(Vec<Entry>),
-    /// Changes since the last news.
-    Changes(Vec<Change>),
+    /// All entries as of a revision; what is not among them is gone.
+    Snapshot(u64, Vec<Entry>),
+    /// Changes since the last news, up to a revision.
+    Changes(u64, Vec<Change>),
     /// The directory does not answer; the last known state stands.
     Lost(PlatformError),
 }
@@ -60,7 +60,7 @@
                 pause = settings.pause;
                 revision = next;
                 let has_changes =
-                    matches!(&news, Some(News::Changes(changes)) if !changes.is_empty());
+                    matches!(&news, Some(News::Changes(_, changes)) if !changes.is_empty());
                 news.into_iter().for_each(&mut take);
                 if has_changes {
                     time::sleep(settings.gather).await;
@@ -94,7 +94,7 @@
             listed.revision,
             listed.entries.len()
         );
-        return Ok((Some(listed.revision), Some(News::Snapshot(listed.entries))));
+        return Ok((Some(listed.revision), Some(News::Snapshot(listed.revision, listed.entries))));
     };
     match directory.changes(kind, revision, wait).await? {
         Watched::HistoryGone => {
@@ -107,7 +107,7 @@
                 kind.as_str(),
                 changes.len()
             );
-            Ok((Some(next), Some(News::Changes(changes))))
+            Ok((Some(next), Some(News::Changes(next, changes))))
         }
     }
 }
--- a/crates/gg-platform/src/lib.rs
+++ b/crates/gg-platform/src/lib.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod error;
 mod follow;
+mod mirror;
 mod store;
 mod types;
 
@@ -12,5 +13,6 @@
 pub use directory::{Change, Directory, Entry, Kind, Snapshot, Watched};
 pub use error::PlatformError;
 pub use follow::{FollowSettings, News, follow};
+pub use mirror::{Mirror, MirrorNews};
 pub use store::ObjectStore;
 pub use types::{Changes, InstanceInfo, InstanceKind, InstanceState, Item, Listing, Object, When};
