A second replica is asked when a call that may be repeated stays silent

Change: after three times the route's objective a second replica gets the request, within its attempts and a budget of a tenth of the answers.

--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures::{StreamExt, stream::FuturesUnordered};
 use gg_ledger::Opened;
 use gg_protocol::{Code, Failure};
-use gg_route::Deployment;
+use gg_route::{Deployment, UpstreamId};
 use http::Response;
 use http_body_util::Full;
 use rand::Rng;
@@ -14,10 +15,11 @@
 use crate::{
     answer::strip_hop_headers,
     choice::{Candidate, ChoiceSettings, choose},
+    fleet::Service,
     replica::{Place, Replica},
     retry::{Next, Outcome, Tries},
     send::{read_whole, send},
-    state::State,
+    state::{State, lock},
     walk::Job,
 };
 
@@ -27,6 +29,10 @@
 /// Fewest requests of ours that a replica may have.
 const LOAD_MIN: u32 = 3;
 
+/// A second replica is asked after this many times the route's objective;
+/// work of three times its mean is still done by then.
+const HEDGE_TARGETS: u32 = 3;
+
 /// Share of the time left that a request may wait for a place.
 const WAIT_SHARE: f64 = 0.3;
 
@@ -40,38 +46,80 @@
 /// Random part of a replica's cost, in ms, so that equal ones share.
 const DRAW_MS: f64 = 2.0;
 
-/// Calls a replica and reads its whole answer.
+/// Calls a replica and reads its whole answer. A request that may be repeated
+/// goes to a second replica when the first one stays silent; the first good
+/// answer counts.
 pub(crate) async fn run<D: Deployment>(
     state: &State<D>,
     job: &Arc<Job>,
 ) -> Result<Response<Full<Bytes>>, Failure> {
     let mut tries = job.tries();
     let mut tried = Vec::new();
+    let mut attempts = FuturesUnordered::new();
+    let patience = job.route.target * HEDGE_TARGETS;
     loop {
-        let place = place(state, job, &tried, &tries, &Opened::default()).await?;
-        tried.push(place.replica.upstream.id.clone());
-        let replica = place.replica.clone();
-        let began = Instant::now();
-        let outcome = match send(state, job, &job.body, place).await {
-            Err(outcome) => outcome,
-            Ok(sent) => {
-                let status = sent.response.status();
-                match read_whole(sent, job.deadline).await {
-                    Err(outcome) => outcome,
-                    Ok((mut headers, body, lease)) => {
-                        replica.note_delay(began.elapsed().as_secs_f64() * 1e3);
-                        lease.keep(&headers);
-                        strip_hop_headers(&mut headers);
-                        let mut response = Response::new(Full::new(body));
-                        *response.status_mut() = status;
-                        *response.headers_mut() = headers;
-                        return Ok(response);
-                    }
+        if attempts.is_empty() {
+            let place = place(state, job, &tried, &tries, &Opened::default()).await?;
+            tried.push(place.replica.upstream.id.clone());
+            tries.begin();
+            attempts.push(attempt(state, job, place));
+        }
+        let silent = time::sleep(patience);
+        let outcome = tokio::select! {
+            Some(ended) = attempts.next() => match ended {
+                Ok(response) => {
+                    lock(&state.hedges).earn();
+                    return Ok(response);
+                }
+                Err(outcome) => outcome,
+            },
+            () = silent, if tries.may_hedge() => {
+                if let Some(place) = hedge(state, job, &tried) {
+                    tried.push(place.replica.upstream.id.clone());
+                    tries.begin();
+                    attempts.push(attempt(state, job, place));
                 }
+                continue;
             }
         };
-        next(job, &mut tries, outcome)?;
+        match next(job, &mut tries, outcome) {
+            Err(failure) if attempts.is_empty() => return Err(failure),
+            _ => {}
+        }
+    }
+}
+
+/// A place for a second send, if the budget and the replicas allow it.
+fn hedge<D: Deployment>(state: &State<D>, job: &Job, tried: &[UpstreamId]) -> Option<Place> {
+    let service = state.fleet.service(&job.service.name)?;
+    let open = untried(&service, tried);
+    let replica = best(state, job, &open, &Opened::default())?;
+    if !lock(&state.hedges).spend() {
+        return None;
     }
+    state.metrics.count("hedges", &[]);
+    log::info!("event=hedged request={} replica={}", job.id(), replica.upstream.id.name);
+    Some(replica.occupy())
+}
+
+/// One send, its answer read whole.
+async fn attempt<D: Deployment>(
+    state: &State<D>,
+    job: &Job,
+    place: Place,
+) -> Result<Response<Full<Bytes>>, Outcome> {
+    let replica = place.replica.clone();
+    let began = Instant::now();
+    let sent = send(state, job, &job.body, place).await?;
+    let status = sent.response.status();
+    let (mut headers, body, lease) = read_whole(sent, job.deadline).await?;
+    replica.note_delay(began.elapsed().as_secs_f64() * 1e3);
+    lease.keep(&headers);
+    strip_hop_headers(&mut headers);
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Ok(response)
 }
 
 /// Goes on with another replica, or tells why not.
@@ -98,7 +146,7 @@
 pub(crate) async fn place<D: Deployment>(
     state: &State<D>,
     job: &Job,
-    tried: &[gg_route::UpstreamId],
+    tried: &[UpstreamId],
     tries: &Tries,
     opened: &Opened,
 ) -> Result<Place, Failure> {
@@ -114,11 +162,7 @@
         };
         let freed = service.freed.clone();
         let notified = freed.notified();
-        let open: Vec<_> = service
-            .replicas
-            .iter()
-            .filter(|replica| replica.is_open() && !tried.contains(&replica.upstream.id))
-            .collect();
+        let open = untried(&service, tried);
         if open.is_empty() {
             return Err(give_up("no replica is left to try"));
         }
@@ -131,6 +175,12 @@
     }
 }
 
+/// Replicas of a service that take work and were not tried yet.
+fn untried<'a>(service: &'a Service, tried: &[UpstreamId]) -> Vec<&'a Arc<Replica>> {
+    let replicas = service.replicas.iter();
+    replicas.filter(|replica| replica.is_open() && !tried.contains(&replica.upstream.id)).collect()
+}
+
 fn best<'a, D>(
     state: &State<D>,
     job: &Job,
--- a/crates/gg-gateway/src/retry.rs
+++ b/crates/gg-gateway/src/retry.rs
@@ -43,15 +43,26 @@
         Tries { kind, left: attempts, unsent_left: UNSENT_MAX, has_maybe_run: false }
     }
 
+    /// A send begins.
+    pub fn begin(&mut self) {
+        self.left = self.left.saturating_sub(1);
+    }
+
+    /// Whether a second send may begin beside one that has no answer yet.
+    pub fn may_hedge(&self) -> bool {
+        self.kind.is_repeatable() && self.left > 0
+    }
+
     /// Takes in how a send ended. `is_late` says that no time is left.
     pub fn note(&mut self, outcome: Outcome, is_late: bool) -> Next {
         match outcome {
-            Outcome::Unsent => self.unsent_left -= 1,
-            Outcome::Unexecuted => self.left -= 1,
-            Outcome::Unknown => {
-                self.left -= 1;
-                self.has_maybe_run = true;
+            Outcome::Unsent => {
+                // No replica has got it.
+                self.left += 1;
+                self.unsent_left = self.unsent_left.saturating_sub(1);
             }
+            Outcome::Unexecuted => {}
+            Outcome::Unknown => self.has_maybe_run = true,
         }
         let is_allowed = self.kind.is_repeatable() || !self.has_maybe_run;
         if is_allowed && !is_late && self.left > 0 && self.unsent_left > 0 {
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -5,6 +5,7 @@
     atomic::{AtomicBool, Ordering},
 };
 
+use gg_dispatch::RetryBudget;
 use gg_ledger::Ledger;
 use gg_metrics::Metrics;
 use gg_protocol::Name;
@@ -12,6 +13,13 @@
 
 use crate::Fleet;
 
+/// Second sends as a share of answers: beyond it, silence is load, and more
+/// sends would only add to it.
+const HEDGE_SHARE: f64 = 0.1;
+
+/// Second sends that may come at once.
+const HEDGE_BURST: f64 = 10.0;
+
 /// State of one gateway. `D` translates heads.
 #[derive(Debug)]
 pub(crate) struct State<D> {
@@ -20,6 +28,8 @@
     pub(crate) fleet: Fleet,
     pub(crate) ledger: Ledger,
     pub(crate) metrics: Metrics,
+    /// Second sends beside silent ones, as a share of answers.
+    pub(crate) hedges: Mutex<RetryBudget>,
     table: RwLock<Option<Arc<RouteTable>>>,
     is_stopping: AtomicBool,
 }
@@ -28,6 +38,7 @@
     pub(crate) fn new(dialect: D, centre: Name, ledger: Ledger, metrics: Metrics) -> Self {
         State {
             metrics,
+            hedges: Mutex::new(RetryBudget::new(HEDGE_SHARE, HEDGE_BURST)),
             dialect,
             centre,
             ledger,
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -37,6 +37,7 @@
         let place = place(state, job, &tried, &tries, &opened).await?;
         tried.push(place.replica.upstream.id.clone());
         let began = Instant::now();
+        tries.begin();
         let sent = match send(state, job, &body, place).await {
             Ok(sent) => sent,
             Err(outcome) => {
--- a/crates/gg-gateway/tests/retry.rs
+++ b/crates/gg-gateway/tests/retry.rs
@@ -3,33 +3,50 @@
 use gg_gateway::{Next, Outcome, Tries};
 use gg_route::RouteKind;
 
+fn send(tries: &mut Tries, outcome: Outcome) -> Next {
+    tries.begin();
+    tries.note(outcome, false)
+}
+
 #[test]
 fn at_most_once() {
     for kind in [RouteKind::AtMostOnce, RouteKind::Stream] {
         let mut tries = Tries::new(kind, 5);
-        assert_eq!(tries.note(Outcome::Unsent, false), Next::Retry);
-        assert_eq!(tries.note(Outcome::Unexecuted, false), Next::Retry);
-        assert_eq!(tries.note(Outcome::Unknown, false), Next::GiveUp, "it may have run");
+        assert_eq!(send(&mut tries, Outcome::Unsent), Next::Retry);
+        assert_eq!(send(&mut tries, Outcome::Unexecuted), Next::Retry);
+        assert!(!tries.may_hedge());
+        assert_eq!(send(&mut tries, Outcome::Unknown), Next::GiveUp, "it may have run");
     }
 }
 
 #[test]
 fn repeatable() {
     let mut tries = Tries::new(RouteKind::Idempotent, 3);
-    assert_eq!(tries.note(Outcome::Unknown, false), Next::Retry);
-    assert_eq!(tries.note(Outcome::Unexecuted, false), Next::Retry);
-    assert_eq!(tries.note(Outcome::Unexecuted, false), Next::GiveUp, "the first may have run");
+    assert_eq!(send(&mut tries, Outcome::Unknown), Next::Retry);
+    assert_eq!(send(&mut tries, Outcome::Unexecuted), Next::Retry);
+    assert_eq!(send(&mut tries, Outcome::Unexecuted), Next::GiveUp, "the first may have run");
 }
 
 #[test]
 fn attempts_spent() {
     let mut tries = Tries::new(RouteKind::AtMostOnce, 1);
-    assert_eq!(tries.note(Outcome::Unexecuted, false), Next::Refuse, "it never ran");
+    assert_eq!(send(&mut tries, Outcome::Unexecuted), Next::Refuse, "it never ran");
     let mut tries = Tries::new(RouteKind::AtMostOnce, 2);
     for _ in 0..3 {
-        assert_eq!(tries.note(Outcome::Unsent, false), Next::Retry);
+        assert_eq!(send(&mut tries, Outcome::Unsent), Next::Retry);
     }
-    assert_eq!(tries.note(Outcome::Unsent, false), Next::Refuse, "connections are bounded too");
+    assert_eq!(send(&mut tries, Outcome::Unsent), Next::Refuse, "connections are bounded too");
+}
+
+/// Attempts bound the replicas that have a request, also side by side.
+#[test]
+fn hedges() {
+    let mut tries = Tries::new(RouteKind::Idempotent, 2);
+    tries.begin();
+    assert!(tries.may_hedge());
+    tries.begin();
+    assert!(!tries.may_hedge());
+    assert_eq!(tries.note(Outcome::Unknown, false), Next::GiveUp);
 }
 
 #[test]
