--- a/crates/gg-operator/src/commands/check.rs
+++ b/crates/gg-operator/src/commands/check.rs
@@ -4,7 +4,7 @@
 use std::fs;
 
 use argh::FromArgs;
-use gg_settings::{DaemonSettings, parse_configuration};
+use gg_settings::{Settings, parse_configuration};
 use serde_json::json;
 
 use super::{
@@ -21,7 +21,7 @@
     example = "Check profiles before they are applied:\n  greengagefork check --config profiles.ini"
 )]
 pub(crate) struct CheckCommand {
-    /// the file holds configuration documents, not a daemon's settings
+    /// the file holds configuration documents, not a process's settings
     #[argh(switch)]
     config: bool,
 
@@ -35,7 +35,7 @@
         let text = read_file(&self.file)?;
         let checked = match self.config {
             true => parse_configuration(&self.file, &text).map(drop),
-            false => DaemonSettings::parse(&self.file, &text).map(drop),
+            false => Settings::parse(&self.file, &text).map(drop),
         };
         checked.map_err(|faults| Failed::faults(faults.to_string()))?;
         match context.json {
--- a/crates/gg-operator/src/commands/line.rs
+++ b/crates/gg-operator/src/commands/line.rs
@@ -5,7 +5,7 @@
 use super::{
     apply::ApplyCommand, check::CheckCommand, digest::DigestCommand, drain::DrainCommand,
     explain::ExplainCommand, profile::ProfileCommand, program::ProgramCommand,
-    status::StatusCommand,
+    status::StatusCommand, trace::TraceCommand,
 };
 use crate::OperatorClient;
 
@@ -46,6 +46,7 @@
     Profile(ProfileCommand),
     Program(ProgramCommand),
     Status(StatusCommand),
+    Trace(TraceCommand),
 }
 
 /// What all commands share.
@@ -69,6 +70,7 @@
         Command::Profile(command) => command.run(&context).await,
         Command::Program(command) => command.run(&context).await,
         Command::Status(command) => command.run(&context).await,
+        Command::Trace(command) => command.run(&context),
     };
     match done {
         Ok(()) => 0,
--- a/crates/gg-operator/src/commands/mod.rs
+++ b/crates/gg-operator/src/commands/mod.rs
@@ -10,5 +10,6 @@
 mod profile;
 mod program;
 mod status;
+mod trace;
 
 pub use line::{CommandLine, run};
--- /dev/null
+++ b/tests/commands.rs
@@ -0,0 +1,57 @@
+//! The command line on files and logs.
+
+use std::{fs, process::Command};
+
+/// Runs the command line; returns its exit status and output.
+fn run(arguments: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_greengagefork")).args(arguments).output();
+    let output = output.expect("the command runs");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8_lossy(&text).into_owned())
+}
+
+fn file(name: &str, content: &str) -> String {
+    let folder = std::env::temp_dir().join(format!("gg-commands-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("folder");
+    let path = folder.join(name);
+    fs::write(&path, content).expect("file");
+    path.to_string_lossy().into_owned()
+}
+
+#[test]
+fn trace_orders() {
+    let first = file(
+        "a.log",
+        "time_ms=30 level=warn instance=g-1 event=failed request=abc reason=no answer came\n\
+         time_ms=10 level=info instance=g-1 event=hedged request=other replica=r-9\n",
+    );
+    let second = file(
+        "b.log",
+        "  12.3 g-2 time_ms=20 level=info instance=g-2 event=hedged request=abc replica=r-2\n\
+         no pairs at all\n",
+    );
+    let (status, text) = run(&["trace", "abc", &first, &second]);
+    assert_eq!(status, Some(0), "{text}");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[1].contains("g-2") && lines[1].contains("replica=r-2"), "{text}");
+    assert!(lines[2].contains("10") && lines[2].contains("reason=no answer came"), "{text}");
+    let (status, text) = run(&["--json", "trace", "abc", &first, &second]);
+    let events: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((status, events[0]["instance"].as_str()), (Some(0), Some("g-2")));
+    assert_eq!(run(&["trace", "nobody", &first]).0, Some(2));
+}
+
+#[test]
+fn check_roles() {
+    let good = "[instance]\nname = a\ndata_centre = x\n[directory]\naddress = 127.0.0.1:1\n\
+                [gateway]\nclients = 127.0.0.1:2\nready = 127.0.0.1:3\n";
+    let path = file("good.ini", good);
+    assert_eq!(run(&["check", &path]), (Some(0), format!("{path}: no faults\n")));
+    let bad = good.replace("clients = 127.0.0.1:2", "clients = nowhere\ncolour = red");
+    let (status, text) = run(&["check", &file("bad.ini", &bad)]);
+    assert_eq!(status, Some(2));
+    assert!(text.contains("nowhere") && text.contains("colour"), "all faults at once: {text}");
+    let both = format!("{good}[ledger]\nlisten = 127.0.0.1:4\nfolder = /x\n");
+    assert_eq!(run(&["check", &file("both.ini", &both)]).0, Some(2));
+}
