--- a/crates/gg-ledger/src/link.rs
+++ b/crates/gg-ledger/src/link.rs
@@ -22,7 +22,9 @@
 use crate::{
     LedgerError, Member,
     node::lock,
-    protocol::{Answer, Ask, Reply, Request, codec, decode, encode, write_frames},
+    protocol::{
+        Answer, Ask, FrameReader, FrameWriter, Reply, Request, codec, decode, encode, write_frames,
+    },
     socket,
 };
 
@@ -173,19 +175,18 @@
         loop {
             match socket::connect(self.member.address).await {
                 Ok(socket) => {
-                    pause = PAUSES.0;
-                    while queued.try_recv().is_ok() {}
-                    self.is_up.store(true, Ordering::Relaxed);
-                    log::info!("event=ledger_connected instance={}", self.member.instance);
                     let ended = self.exchange(socket, &mut queued).await;
-                    self.is_up.store(false, Ordering::Relaxed);
+                    let was_up = self.is_up.swap(false, Ordering::Relaxed);
                     *lock(&self.slow_since) = None;
                     lock(&self.pending).clear();
-                    log::warn!(
-                        "event=ledger_lost instance={} reason={:?}",
-                        self.member.instance,
-                        ended.err()
-                    );
+                    if was_up {
+                        pause = PAUSES.0;
+                        log::warn!(
+                            "event=ledger_lost instance={} reason={:?}",
+                            self.member.instance,
+                            ended.err()
+                        );
+                    }
                 }
                 Err(err) => {
                     log::debug!(
@@ -207,6 +208,10 @@
         let (reader, writer) = socket.into_split();
         let mut reader = FramedRead::new(reader, codec());
         let mut writer = FramedWrite::new(writer, codec());
+        self.greet(&mut reader, &mut writer).await?;
+        while queued.try_recv().is_ok() {}
+        self.is_up.store(true, Ordering::Relaxed);
+        log::info!("event=ledger_connected instance={}", self.member.instance);
         let mut check = time::interval(SLOW_CHECK);
         loop {
             tokio::select! {
@@ -255,6 +260,23 @@
         }
     }
 
+    /// Makes sure that the right disk answers before calls are sent: an
+    /// instance that lost its disk listens where it did.
+    async fn greet(&self, reader: &mut FrameReader, writer: &mut FrameWriter) -> io::Result<()> {
+        let greeting = async {
+            writer.send(self.encode_ping()).await?;
+            reader.next().await.unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into()))
+        };
+        let frame = time::timeout(SILENCE_MAX, greeting).await??;
+        match decode::<Reply>(&frame).map_err(io::Error::other)?.answer {
+            Answer::Here => {
+                *lock(&self.heard) = Instant::now();
+                Ok(())
+            }
+            other => Err(io::Error::other(format!("greeted with {other:?}"))),
+        }
+    }
+
     /// Whether a link that is kept for its heartbeat needs one.
     fn is_ping_due(&self) -> bool {
         self.heartbeat.is_some_and(|interval| self.silence() >= interval)
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -9,8 +9,11 @@
 use gg_protocol::Name;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use tokio::{net::tcp::OwnedWriteHalf, sync::mpsc};
-use tokio_util::codec::{FramedWrite, LengthDelimitedCodec};
+use tokio::{
+    net::tcp::{OwnedReadHalf, OwnedWriteHalf},
+    sync::mpsc,
+};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::{
     Layout, Line, TurnRecord,
@@ -136,6 +139,9 @@
 /// Writes frames to a connection.
 pub(crate) type FrameWriter = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
+/// Reads frames from a connection.
+pub(crate) type FrameReader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+
 /// Splits a byte stream into frames.
 pub(crate) fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX_BYTES).new_codec()
