--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -112,7 +112,7 @@
     let began = Instant::now();
     let sent = send(state, job, &job.body, place).await?;
     let status = sent.response.status();
-    let (mut headers, body, lease) = read_whole(sent, job.deadline).await?;
+    let (mut headers, body, lease) = read_whole(job, sent).await?;
     replica.note_delay(began.elapsed().as_secs_f64() * 1e3);
     lease.keep(&headers);
     strip_hop_headers(&mut headers);
@@ -210,5 +210,20 @@
         false => ChoiceSettings { far_ms: CALL_FAR_MS, ..ChoiceSettings::default() },
     };
     let draw = || rand::rng().random_range(0.0..DRAW_MS);
-    choose(&candidates, opened.history.len(), &settings, draw).map(|index| open[index])
+    let index = choose(&candidates, opened.history.len(), &settings, draw)?;
+    let (replica, chosen) = (open[index], &candidates[index]);
+    log::info!(
+        "event=placed request={} replica={} candidates={} load={} far={} warm={} previous={} \
+         suspect={} delay_ms={:.0}",
+        job.id(),
+        replica.upstream.id.name,
+        open.len(),
+        chosen.load,
+        chosen.is_far,
+        chosen.is_warm,
+        chosen.is_previous,
+        chosen.is_suspect,
+        chosen.delay_ms
+    );
+    Some(replica)
 }
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -136,7 +136,7 @@
     });
     // The refusal stands whatever its body holds; the connection is kept
     // only if that ends as it should.
-    if let Ok((headers, _, lease)) = read_whole(sent, job.deadline).await {
+    if let Ok((headers, _, lease)) = read_whole(job, sent).await {
         lease.keep(&headers);
     }
     Outcome::Unexecuted
@@ -154,15 +154,16 @@
 
 /// Reads the rest of an answer.
 pub(crate) async fn read_whole(
+    job: &Job,
     sent: Sent,
-    limit: Instant,
 ) -> Result<(HeaderMap, Bytes, Lease), Outcome> {
     let (head, body) = sent.response.into_parts();
-    match time::timeout_at(limit, Limited::new(body, ANSWER_MAX_BYTES).collect()).await {
+    match time::timeout_at(job.deadline, Limited::new(body, ANSWER_MAX_BYTES).collect()).await {
         Ok(Ok(whole)) => Ok((head.headers, whole.to_bytes(), sent.lease)),
         Ok(Err(err)) => {
             log::warn!(
-                "event=answer_broke replica={} error={err}",
+                "event=answer_broke request={} replica={} error={err}",
+                job.id(),
                 sent.lease.replica().upstream.id.name
             );
             sent.lease.replica().suspect(FAILED_TIME);
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -47,7 +47,7 @@
         };
         let status = sent.response.status();
         if status != StatusCode::OK {
-            match read_whole(sent, job.deadline).await {
+            match read_whole(job, sent).await {
                 Ok((mut headers, body, lease)) => {
                     lease.keep(&headers);
                     strip_hop_headers(&mut headers);
