One place for socket options; the view of a partition apart from its client; a fault soak

The soak runs gateways and ledgers as processes against the stand-ins, with kills, stops, lost disks, kills of all at once, moods of the store and of replicas, and checks chains, budgets, 404, at most once and true refusals.

--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -2,16 +2,13 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use gg_http::Limits;
+use gg_http::{Limits, listen_socket};
 use gg_ledger::{Keeper, KeeperSettings, Ledger, Member, Node, NodeError, NodeSettings, Patience};
 use gg_metrics::{Metrics, Registry, serve_metrics};
 use gg_route::Deployment;
 use gg_settings::{GatewaySettings, LedgerSettings};
 use quick_error::quick_error;
-use tokio::{
-    net::{TcpListener, TcpSocket},
-    time,
-};
+use tokio::{net::TcpListener, time};
 use tokio_util::sync::CancellationToken;
 
 use crate::{discovery, ingress, state::State};
@@ -135,11 +132,5 @@
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    let bind = || {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    bind().map_err(|err| GatewayError::Listen(address, err))
+    listen_socket(address, BACKLOG).map_err(|err| GatewayError::Listen(address, err))
 }
--- a/crates/gg-gateway/src/pool.rs
+++ b/crates/gg-gateway/src/pool.rs
@@ -11,12 +11,11 @@
 };
 
 use bytes::Bytes;
+use gg_http::connect_socket;
 use http::{HeaderMap, header};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, time};
 
 use crate::state::lock;
 
@@ -30,12 +29,6 @@
 /// A connection is given up this long before the replica would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(800);
 
-/// Time without traffic after which a connection is probed.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Unanswered probes after which a connection counts as broken.
-const PROBES: u32 = 2;
-
 /// Read buffer of a connection, in bytes. Answers are small; hyper grows it
 /// to at most this.
 const BUFFER_BYTES: usize = 16 << 10;
@@ -73,8 +66,7 @@
 
     /// A new connection.
     pub(crate) async fn connect(&self) -> io::Result<Connection> {
-        let socket = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await??;
-        prepare(&socket)?;
+        let socket = connect_socket(self.address, CONNECT_TIMEOUT).await?;
         let (connection, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(socket))
@@ -103,17 +95,6 @@
     }
 }
 
-fn prepare(socket: &TcpStream) -> io::Result<()> {
-    socket.set_nodelay(true)?;
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(PROBES);
-    let socket = SockRef::from(socket);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(PROBE_INTERVAL * (PROBES + 1)))
-}
-
 /// Time for which the replica keeps the connection, a margin taken off;
 /// `None` if it is about to close it.
 fn idle_time(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/gg-http/src/client.rs
+++ b/crates/gg-http/src/client.rs
@@ -13,7 +13,10 @@
 use serde::de::DeserializeOwned;
 use tokio::time;
 
-use crate::HttpError;
+use crate::{
+    HttpError,
+    socket::{PROBE_INTERVAL, PROBES, UNACKNOWLEDGED_MAX},
+};
 
 /// Largest answer read whole, in bytes.
 const REPLY_MAX_BYTES: usize = 64 << 20;
@@ -24,13 +27,6 @@
 /// Idle connections are closed after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Time without traffic after which a connection is probed; one that went
-/// silent is found after [`PROBES`] more of them.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Unanswered probes after which a connection counts as broken.
-const PROBES: u32 = 2;
-
 /// A client that keeps its connections for reuse; clones share them.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -68,7 +64,7 @@
         connector.set_keepalive(Some(PROBE_INTERVAL));
         connector.set_keepalive_interval(Some(PROBE_INTERVAL));
         connector.set_keepalive_retries(Some(PROBES));
-        connector.set_tcp_user_timeout(Some(PROBE_INTERVAL * (PROBES + 1)));
+        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX));
         let pool = Pool::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/gg-http/src/lib.rs
+++ b/crates/gg-http/src/lib.rs
@@ -5,8 +5,10 @@
 mod client;
 mod error;
 mod server;
+mod socket;
 
 pub use body::Body;
 pub use client::{Client, Reply};
 pub use error::HttpError;
 pub use server::{Limits, json_response, read_body, serve, serve_with};
+pub use socket::{connect_socket, listen_socket, prepare_socket};
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -16,12 +16,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Chain, Layout, LedgerError, LedgerSet, TurnRecord,
+    Chain, Layout, LedgerError, TurnRecord,
     index::Spent,
     link::{Link, Scope},
     links::Links,
     node::lock,
     protocol::{Answer, Ask},
+    view::View,
 };
 
 /// Longest wait for enough instances to open a turn.
@@ -97,31 +98,6 @@
     links: Links,
 }
 
-/// A partition's set and the links to its members at one moment.
-#[derive(Clone, Debug)]
-struct View {
-    scope: Scope,
-    set: LedgerSet,
-    /// Links to present and next members, those that are asked first before
-    /// the others.
-    links: Vec<Arc<Link>>,
-    /// How many of the links are asked first.
-    first: usize,
-}
-
-impl View {
-    fn is_usable(&self) -> bool {
-        let usable = self.links.iter().filter(|link| link.is_usable());
-        let usable: Vec<u64> = usable.map(|link| link.member.disk).collect();
-        self.is_enough(&usable)
-    }
-
-    /// Whether a turn that is opened by these has seen and is seen by all.
-    fn is_enough(&self, disks: &[u64]) -> bool {
-        self.set.is_read(disks) && self.set.is_written(disks)
-    }
-}
-
 impl Ledger {
     /// A client without members; its links end when `stop` is cancelled.
     pub fn new(centre: Name, stop: CancellationToken) -> Self {
@@ -186,28 +162,9 @@
         lock(&self.state).layout.partition(key.program.as_ref().unwrap_or(&key.turn))
     }
 
-    /// The set of a partition. One member in each data centre is asked first,
-    /// and more if these are too few; the others only if those stay silent.
     fn view(&self, partition: u16) -> View {
         let state = lock(&self.state);
-        let set = state.layout.partitions.get(usize::from(partition)).cloned().unwrap_or_default();
-        let mut links: Vec<Arc<Link>> = Vec::new();
-        let mut others: Vec<Arc<Link>> = Vec::new();
-        let all = set.all();
-        let known = all.iter().filter_map(|member| state.links.get(member.disk));
-        for link in known {
-            let is_covered = links.iter().any(|first| first.member.centre == link.member.centre);
-            match link.is_usable() && !is_covered {
-                true => links.push(link.clone()),
-                false => others.push(link.clone()),
-            }
-        }
-        others.sort_by_key(|link| !link.is_usable());
-        let enough = set.write_quorum(set.members.len()).max(set.read_quorum(set.members.len()));
-        let first = if set.next.is_some() { all.len() } else { links.len().max(enough) };
-        links.append(&mut others);
-        let first = first.min(links.len());
-        View { scope: Scope { partition, epoch: set.epoch }, set, links, first }
+        View::new(&state.layout, &state.links, partition)
     }
 
     /// Sets tokens aside for a turn and reads the chain that it continues.
@@ -263,7 +220,8 @@
         view: &View,
         request: &OpenRequest,
     ) -> Result<(u64, Option<Chain>), LedgerError> {
-        let nearest = self.nearest(view).ok_or(LedgerError::Unavailable("no member connected"))?;
+        let nearest =
+            view.nearest(&self.centre).ok_or(LedgerError::Unavailable("no member connected"))?;
         let program = request.key.program.clone();
         let reserve = program.zip(request.budget.map(|(_, tokens)| tokens));
         let ask = |link: &Link| Ask::Open {
@@ -491,14 +449,4 @@
             other => log::warn!("event=ledger_refused disk={disk} answer={other:?}"),
         }
     }
-
-    /// The member that chains are read from: in the same data centre if one
-    /// answers there, else any that is asked first.
-    fn nearest(&self, view: &View) -> Option<u64> {
-        let first = view.links[..view.first].iter().filter(|link| view.set.has(link.member.disk));
-        let best = first.filter(|link| link.is_up()).min_by_key(|link| {
-            (!link.is_usable(), link.member.centre != self.centre, link.member.disk)
-        })?;
-        Some(best.member.disk)
-    }
 }
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -22,7 +22,7 @@
 mod pull;
 mod serve;
 mod set;
-mod socket;
+mod view;
 
 pub use client::{Ledger, OpenRequest, Opened, TurnKey};
 pub use entry::{Line, Placed, TurnRecord};
--- a/crates/gg-ledger/src/link.rs
+++ b/crates/gg-ledger/src/link.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
+use gg_http::connect_socket;
 use tokio::{
     net::TcpStream,
     sync::{mpsc, oneshot},
@@ -25,9 +26,11 @@
     protocol::{
         Answer, Ask, FrameReader, FrameWriter, Reply, Request, codec, decode, encode, write_frames,
     },
-    socket,
 };
 
+/// Longest wait for a connection; instances are a few ms away.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Calls that may wait to be written.
 const CALLS_MAX: usize = 512;
 
@@ -173,7 +176,7 @@
     pub(crate) async fn run(&self, mut queued: mpsc::Receiver<Bytes>) {
         let mut pause = PAUSES.0;
         loop {
-            match socket::connect(self.member.address).await {
+            match connect_socket(self.member.address, CONNECT_TIMEOUT).await {
                 Ok(socket) => {
                     let ended = self.exchange(socket, &mut queued).await;
                     let was_up = self.is_up.swap(false, Ordering::Relaxed);
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use gg_http::listen_socket;
 use gg_metrics::Metrics;
 use gg_platform::Mirror;
 use quick_error::quick_error;
@@ -22,7 +23,7 @@
     book::Book,
     log_file::encode_line,
     pull::{self, PullError},
-    serve, socket,
+    serve,
 };
 
 quick_error! {
@@ -40,6 +41,9 @@
     }
 }
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 512;
+
 /// Writes that may wait for the disk.
 const COMMITS_MAX: usize = 4096;
 
@@ -121,7 +125,7 @@
             metrics,
         };
         let node = Node { shared: Arc::new(shared) };
-        let listener = socket::listen(settings.listen)
+        let listener = listen_socket(settings.listen, BACKLOG)
             .map_err(|err| NodeError::Listen(settings.listen, err))?;
         tokio::spawn(node.clone().commit(log, waiting, stop.clone()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(node.clone().expire()));
--- a/crates/gg-ledger/src/pull.rs
+++ b/crates/gg-ledger/src/pull.rs
@@ -3,14 +3,15 @@
 use std::{io, time::Duration};
 
 use futures::{SinkExt, StreamExt};
+use gg_http::connect_socket;
 use quick_error::quick_error;
 use tokio::time;
 use tokio_util::codec::Framed;
 
 use crate::{
     Line, Member, Node,
+    link::CONNECT_TIMEOUT,
     protocol::{Answer, Ask, FrameError, Reply, Request, codec, decode, encode},
-    socket,
 };
 
 /// Bytes of texts in one message: one sync for each, little memory.
@@ -60,7 +61,7 @@
     partition: u16,
     epoch: u64,
 ) -> Result<(), PullError> {
-    let mut framed = Framed::new(socket::connect(member.address).await?, codec());
+    let mut framed = Framed::new(connect_socket(member.address, CONNECT_TIMEOUT).await?, codec());
     let request = Request { id: 1, partition, epoch, disk: member.disk, ask: Ask::Pull };
     framed.send(encode(&request)).await?;
     loop {
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
+use gg_http::prepare_socket;
 use gg_protocol::Name;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -19,7 +20,7 @@
     Line, Node, TurnRecord,
     index::Chain,
     protocol::{Answer, Ask, FrameWriter, Reply, Request, codec, decode, encode, write_frames},
-    pull, socket,
+    pull,
 };
 
 /// Replies that may wait for one slow client; its further calls wait too.
@@ -46,7 +47,7 @@
 
 /// Serves one connection.
 async fn serve(node: Node, socket: TcpStream) {
-    if let Err(err) = socket::prepare(&socket) {
+    if let Err(err) = prepare_socket(&socket) {
         log::warn!("event=socket_failed error={err}");
         return;
     }
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,411 @@
+//! A fault soak: our programs as processes of their own, stand-ins for the
+//! store and replicas, faults by signals and manners, promises checked from
+//! what clients and replicas saw.
+//!
+//! `GG_SOAK_SEEDS=50 cargo test --release --test soak -- --nocapture` plays
+//! more seeds; each that ever failed stays in [`SEEDS`] with its cause.
+
+#[path = "../platform/tests/support/mod.rs"]
+mod support;
+
+use std::{
+    collections::HashMap,
+    net::{SocketAddr, TcpListener},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use gg_fakes::Random;
+use gg_http::Client;
+use http::{Request, StatusCode};
+use support::{FakeReplica, FakeStore, Manner, Manners, deployment::configuration};
+use tempfile::TempDir;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+
+/// Seeds of the short run.
+const SEEDS: [u64; 2] = [1, 2];
+
+const LEDGERS: usize = 3;
+const GATEWAYS: usize = 2;
+const CLIENTS: usize = 4;
+
+/// Faults of one run.
+const FAULTS: usize = 14;
+
+/// Longest time for a turn that has to come about.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Tokens of a program, and of one turn at most, in the users' units.
+const BUDGET: u64 = 2_000;
+const TURN_MOST: u64 = 100;
+
+/// Tokens of the stand-in's stream.
+const TURN_TOKENS: u64 = 30;
+
+/// One of our programs as a process.
+struct Program {
+    settings: String,
+    child: Option<Child>,
+}
+
+impl Program {
+    fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_greengageforkd"))
+            .arg(&self.settings)
+            .stdout(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("the program starts"));
+    }
+
+    fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child {
+            // SAFETY: a signal to a process that we started and have not reaped.
+            unsafe { libc::kill(child.id() as libc::pid_t, signal) };
+        }
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            child.wait().expect("it was ours");
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What clients saw of calls that may not be repeated.
+#[derive(Default)]
+struct Seen {
+    refused: Vec<String>,
+    sent: Vec<String>,
+    tokens: HashMap<String, u64>,
+}
+
+struct Soak {
+    store: FakeStore,
+    replicas: Vec<FakeReplica>,
+    clients: Vec<SocketAddr>,
+    client: Client,
+    next: AtomicU64,
+    seen: Mutex<Seen>,
+    is_over: AtomicBool,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback port");
+    listener.local_addr().expect("bound address")
+}
+
+impl Soak {
+    fn id(&self) -> String {
+        format!("{:016x}", self.next.fetch_add(1, Ordering::Relaxed))
+    }
+
+    async fn send(
+        &self,
+        gateway: usize,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<(StatusCode, String)> {
+        let url = format!("http://{}{path}", self.clients[gateway]);
+        let mut request = Request::post(url).header("host", "app.example");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Bytes::copy_from_slice(body.as_bytes())).expect("request");
+        let reply = self.client.call(request, Duration::from_secs(6)).await.ok()?;
+        Some((reply.status, String::from_utf8_lossy(&reply.body).into_owned()))
+    }
+
+    /// One client: programs of turns, each continued from the last, with a
+    /// call that may not be repeated after each. When a program's budget is
+    /// spent, another one goes on, sometimes from where the last one ended.
+    async fn play(&self, number: usize, mut random: Random) {
+        let mut programs = 0;
+        let mut program = format!("program-{number}-0");
+        let mut previous: Option<String> = None;
+        let mut history = String::new();
+        let mut turn = 0;
+        while !self.is_over.load(Ordering::Relaxed) || turn < 3 {
+            let input = format!("[{program} turn {turn}]");
+            turn += 1;
+            match self.turn(&program, previous.as_deref(), &history, &input, &mut random).await {
+                Some(id) => {
+                    let output: String = (1..=3).map(|event| format!("{id}-{event}\n")).collect();
+                    history = format!("{history}{input}{output}");
+                    previous = Some(id);
+                }
+                None => {
+                    programs += 1;
+                    program = format!("program-{number}-{programs}");
+                    if random.chance(0.7) {
+                        previous = None;
+                        history.clear();
+                    }
+                }
+            }
+            self.call(&mut random).await;
+        }
+    }
+
+    /// Sends a turn until it is answered whole; `None` if the budget is spent.
+    async fn turn(
+        &self,
+        program: &str,
+        previous: Option<&str>,
+        history: &str,
+        input: &str,
+        random: &mut Random,
+    ) -> Option<String> {
+        let give_up = time::Instant::now() + PATIENCE;
+        let (budget, count) = (BUDGET.to_string(), format!("10,{TURN_MOST}"));
+        loop {
+            let id = self.id();
+            let mut headers = vec![
+                ("request-id", id.as_str()),
+                ("request-deadline", "3000"),
+                ("program-id", program),
+                ("token-budget", &budget),
+                ("token-count", &count),
+            ];
+            headers.extend(previous.map(|previous| ("previous-turn", previous)));
+            let gateway = random.between(0, GATEWAYS as u64) as usize;
+            let reply = self.send(gateway, "/turn/x", &headers, input).await;
+            let runs: Vec<String> = self.runs(&id);
+            assert!(runs.len() <= 1, "a turn ran twice: {id}");
+            for prompt in runs {
+                assert_eq!(prompt, format!("{history}{input}"), "a turn ran with another history");
+            }
+            match reply {
+                Some((StatusCode::OK, body)) if body.ends_with(&format!("data: {id}-3\n\n")) => {
+                    let mut seen = self.seen.lock().expect("lock");
+                    let tokens = seen.tokens.entry(program.to_owned()).or_default();
+                    *tokens += TURN_TOKENS;
+                    assert!(*tokens <= BUDGET + TURN_MOST, "{program} spent {tokens}");
+                    return Some(id);
+                }
+                Some((StatusCode::PAYMENT_REQUIRED, _)) => return None,
+                Some((StatusCode::NOT_FOUND, body)) => panic!("a whole turn is gone: {body}"),
+                Some((StatusCode::OK, body)) => panic!("a whole answer that is none: {body}"),
+                _ => assert!(time::Instant::now() < give_up, "{program} is not served"),
+            }
+            time::sleep(Duration::from_millis(20 + random.between(0, 80))).await;
+        }
+    }
+
+    async fn call(&self, random: &mut Random) {
+        let id = self.id();
+        let headers = [("request-id", id.as_str()), ("request-deadline", "1000")];
+        let gateway = random.between(0, GATEWAYS as u64) as usize;
+        let reply = self.send(gateway, "/once/x", &headers, "order").await;
+        let mut seen = self.seen.lock().expect("lock");
+        seen.sent.push(id.clone());
+        if let Some((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) = reply {
+            seen.refused.push(id);
+        }
+    }
+
+    /// Bodies with which replicas ran a request.
+    fn runs(&self, id: &str) -> Vec<String> {
+        let runs = self.replicas.iter().flat_map(FakeReplica::runs);
+        runs.filter(|run| run.id == id).map(|run| run.body).collect()
+    }
+
+    fn check_calls(&self) {
+        let mut counts: HashMap<String, usize> = HashMap::new();
+        for run in self.replicas.iter().flat_map(FakeReplica::runs) {
+            *counts.entry(run.id).or_default() += 1;
+        }
+        let seen = self.seen.lock().expect("lock");
+        for id in &seen.sent {
+            assert!(counts.get(id).copied().unwrap_or(0) <= 1, "call {id} ran twice");
+        }
+        for id in &seen.refused {
+            assert!(!counts.contains_key(id), "call {id} was told not to run and ran");
+        }
+    }
+}
+
+/// Puts faults in one after the other; some overlap the next.
+async fn disturb(soak: &Soak, programs: &mut [Program], folders: &[TempDir], random: &mut Random) {
+    const MANNERS: [Manner; 5] =
+        [Manner::Full, Manner::ResetAfterRun, Manner::CutMidEvent, Manner::Unsigned, Manner::Sound];
+    let mut version = 10;
+    for _ in 0..FAULTS {
+        let ledger = random.between(0, LEDGERS as u64) as usize;
+        let gateway = LEDGERS + random.between(0, GATEWAYS as u64) as usize;
+        let pause = Duration::from_millis(50 + random.between(0, 400));
+        match random.between(0, 8) {
+            0 => {
+                programs[ledger].kill();
+                time::sleep(pause).await;
+                programs[ledger].start();
+            }
+            1 => {
+                programs[ledger].signal(libc::SIGSTOP);
+                time::sleep(pause * 3).await;
+                programs[ledger].signal(libc::SIGCONT);
+            }
+            2 => {
+                // A disk is lost only while the others are whole.
+                wait_for_layout(&soak.store).await;
+                programs[ledger].kill();
+                for entry in std::fs::read_dir(folders[ledger].path()).expect("folder") {
+                    std::fs::remove_file(entry.expect("entry").path()).expect("file");
+                }
+                programs[ledger].start();
+                wait_for_layout(&soak.store).await;
+            }
+            3 => {
+                programs[gateway].kill();
+                programs[gateway].start();
+            }
+            4 => {
+                programs[gateway].signal(libc::SIGSTOP);
+                time::sleep(pause).await;
+                programs[gateway].signal(libc::SIGCONT);
+            }
+            5 => {
+                for program in programs.iter_mut() {
+                    program.kill();
+                }
+                programs.iter_mut().for_each(Program::start);
+            }
+            6 => {
+                let manners = match random.between(0, 4) {
+                    0 => Manners { is_silent: true, ..Manners::default() },
+                    1 => Manners { lose_answers: true, ..Manners::default() },
+                    2 => Manners { late: Some(pause), ..Manners::default() },
+                    _ => Manners {
+                        refuse: Some(StatusCode::SERVICE_UNAVAILABLE),
+                        ..Manners::default()
+                    },
+                };
+                soak.store.set_manners(manners);
+                time::sleep(pause * 2).await;
+                soak.store.forget_history();
+                soak.store.set_manners(Manners::default());
+            }
+            _ => {
+                version += 1;
+                soak.store.put("config", "main", configuration(version, &["call", "once", "turn"]));
+                let replica =
+                    &soak.replicas[random.between(0, soak.replicas.len() as u64) as usize];
+                replica.set_manner(MANNERS[random.between(0, MANNERS.len() as u64) as usize]);
+                time::sleep(pause).await;
+                replica.set_manner(Manner::Sound);
+            }
+        }
+        time::sleep(pause).await;
+    }
+}
+
+/// Waits until every registered disk is a member and no change is under way.
+async fn wait_for_layout(store: &FakeStore) {
+    support::deployment::eventually("the layout is whole", async || {
+        let Some((layout, _)) = store.get("gg-ledgers", "layout") else { return false };
+        let set = &layout["partitions"][0];
+        let members = set["members"].as_array().cloned().unwrap_or_default();
+        let registered =
+            (0..LEDGERS).filter_map(|n| store.get("gg-ledgers", &format!("ledger-{n}")));
+        let disks: Vec<_> = registered.map(|(spec, _)| spec["member"]["disk"].clone()).collect();
+        set["next"].is_null()
+            && disks.len() == LEDGERS
+            && disks.iter().all(|disk| members.iter().any(|member| member["disk"] == *disk))
+    })
+    .await;
+}
+
+async fn run(seed: u64) {
+    let stop = CancellationToken::new();
+    let store = FakeStore::start(stop.clone()).await;
+    let mut replicas = Vec::new();
+    for number in 0..2 {
+        let replica = FakeReplica::start(&format!("r-{number}"), stop.clone()).await;
+        store.put("servers", &replica.name, replica.entry("app", "ready"));
+        replicas.push(replica);
+    }
+    store.put("config", "main", configuration(1, &["call", "once", "turn"]));
+    let settings = TempDir::new().expect("folder");
+    let folders: Vec<TempDir> = (0..LEDGERS).map(|_| TempDir::new().expect("folder")).collect();
+    let mut programs = Vec::new();
+    let mut clients = Vec::new();
+    for number in 0..LEDGERS + GATEWAYS {
+        let mut text = format!("[directory]\naddress = {}\ntimeout_ms = 300\n", store.address);
+        let part = match folders.get(number) {
+            Some(folder) => format!(
+                "[instance]\nname = ledger-{number}\ndata_centre = {}\n[ledger]\nlisten = {}\n\
+                 folder = {}\nfounding = yes\nfounding_wait_ms = 300\nidle_patience_ms = 700\n",
+                ["a", "b", "c"][number],
+                free_address(),
+                folder.path().display()
+            ),
+            None => {
+                clients.push(free_address());
+                format!(
+                    "[instance]\nname = gateway-{number}\ndata_centre = a\n[gateway]\n\
+                     clients = {}\nready = {}\n",
+                    clients[number - LEDGERS],
+                    free_address()
+                )
+            }
+        };
+        text.push_str(&part);
+        let path = settings.path().join(format!("{number}.ini"));
+        std::fs::write(&path, text).expect("settings");
+        let settings = path.to_string_lossy().into_owned();
+        let mut program = Program { settings, child: None };
+        program.start();
+        programs.push(program);
+    }
+    wait_for_layout(&store).await;
+    let soak = Arc::new(Soak {
+        store,
+        replicas,
+        clients,
+        client: Client::default(),
+        next: AtomicU64::new(1),
+        seen: Mutex::default(),
+        is_over: AtomicBool::new(false),
+    });
+    let mut random = Random::new(seed);
+    let playing: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let soak = soak.clone();
+            let random = Random::new(seed * 1_000 + number as u64);
+            tokio::spawn(async move { soak.play(number, random).await })
+        })
+        .collect();
+    disturb(&soak, &mut programs, &folders, &mut random).await;
+    soak.is_over.store(true, Ordering::Relaxed);
+    for client in playing {
+        if let Err(err) = client.await {
+            panic!("seed {seed}: {err}");
+        }
+    }
+    soak.check_calls();
+    let seen = soak.seen.lock().expect("lock");
+    println!("seed {seed}: {} programs, {} calls", seen.tokens.len(), seen.sent.len());
+    stop.cancel();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn faults_in_turn() {
+    let more = std::env::var("GG_SOAK_SEEDS").ok().and_then(|count| count.parse::<u64>().ok());
+    let fresh = (0..more.unwrap_or(0)).map(|number| 1_000 + number);
+    for seed in SEEDS.into_iter().chain(fresh) {
+        run(seed).await;
+    }
+}
