A turn that can't be opened gives back what some members set aside

Cause: when too few members answered in time, those that did kept the turn's most tokens set aside, and a program could be told too early that its budget is spent. Change: the refusal settles the turn with nothing spent.

--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -191,6 +191,8 @@
             }
             time::sleep(ROUND_PAUSE).await;
         }
+        // Some members may have set tokens aside for a turn that is refused.
+        self.settle(&request.key, 0);
         Err(last)
     }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -90,6 +90,8 @@
     refused: Vec<String>,
     sent: Vec<String>,
     tokens: HashMap<String, u64>,
+    /// Attempts of a program that may have run without ending whole.
+    unknown: HashMap<String, u64>,
 }
 
 struct Soak {
@@ -196,15 +198,37 @@
                     assert!(*tokens <= BUDGET + TURN_MOST, "{program} spent {tokens}");
                     return Some(id);
                 }
-                Some((StatusCode::PAYMENT_REQUIRED, _)) => return None,
+                Some((StatusCode::PAYMENT_REQUIRED, _)) => {
+                    self.check_spent(program);
+                    return None;
+                }
+                Some((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) => {
+                    assert!(time::Instant::now() < give_up, "{program} is not served");
+                }
                 Some((StatusCode::NOT_FOUND, body)) => panic!("a whole turn is gone: {body}"),
                 Some((StatusCode::OK, body)) => panic!("a whole answer that is none: {body}"),
-                _ => assert!(time::Instant::now() < give_up, "{program} is not served"),
+                _ => {
+                    assert!(time::Instant::now() < give_up, "{program} is not served");
+                    let mut seen = self.seen.lock().expect("lock");
+                    *seen.unknown.entry(program.to_owned()).or_default() += 1;
+                }
             }
             time::sleep(Duration::from_millis(20 + random.between(0, 80))).await;
         }
     }
 
+    /// A budget may only be called spent when it does not hold one more turn,
+    /// attempts that may have run counted at their most.
+    fn check_spent(&self, program: &str) {
+        let seen = self.seen.lock().expect("lock");
+        let spent = seen.tokens.get(program).copied().unwrap_or(0);
+        let unknown = seen.unknown.get(program).copied().unwrap_or(0) * TURN_MOST;
+        assert!(
+            spent + unknown + TURN_MOST > BUDGET,
+            "{program} is told that its budget is spent: {spent} and at most {unknown}"
+        );
+    }
+
     async fn call(&self, random: &mut Random) {
         let id = self.id();
         let headers = [("request-id", id.as_str()), ("request-deadline", "1000")];
