--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -352,7 +352,22 @@
     .await;
 }
 
-async fn run(seed: u64) {
+/// A deployment of processes; ends with the value.
+struct Fleet {
+    soak: Arc<Soak>,
+    programs: Vec<Program>,
+    folders: Vec<TempDir>,
+    _settings: TempDir,
+    stop: CancellationToken,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+async fn start() -> Fleet {
     let stop = CancellationToken::new();
     let store = FakeStore::start(stop.clone()).await;
     let mut replicas = Vec::new();
@@ -404,6 +419,12 @@
         seen: Mutex::default(),
         is_over: AtomicBool::new(false),
     });
+    Fleet { soak, programs, folders, _settings: settings, stop }
+}
+
+async fn run(seed: u64) {
+    let mut fleet = start().await;
+    let soak = fleet.soak.clone();
     let mut random = Random::new(seed);
     let playing: Vec<_> = (0..CLIENTS)
         .map(|number| {
@@ -412,7 +433,7 @@
             tokio::spawn(async move { soak.play(number, random).await })
         })
         .collect();
-    disturb(&soak, &mut programs, &folders, &mut random).await;
+    disturb(&soak, &mut fleet.programs, &fleet.folders, &mut random).await;
     soak.is_over.store(true, Ordering::Relaxed);
     for client in playing {
         if let Err(err) = client.await {
@@ -422,7 +443,45 @@
     soak.check_calls();
     let seen = soak.seen.lock().expect("lock");
     println!("seed {seed}: {} programs, {} calls", seen.tokens.len(), seen.sent.len());
-    stop.cancel();
+}
+
+/// Turns that are refused while most ledger instances are frozen leave
+/// nothing set aside once these wake.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frozen_ledgers_keep_budget() {
+    let fleet = start().await;
+    let soak = &fleet.soak;
+    let turn = async |id: String| {
+        let headers = [
+            ("request-id", id.as_str()),
+            ("request-deadline", "3000"),
+            ("program-id", "p"),
+            ("token-budget", "150"),
+            ("token-count", "10,100"),
+        ];
+        soak.send(0, "/turn/x", &headers, "input").await.map(|(status, _)| status)
+    };
+    support::deployment::eventually("a first turn", async || {
+        let headers = [("request-id", soak.id()), ("request-deadline", "3000".into())];
+        let headers: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        soak.send(0, "/turn/x", &headers, "x").await.is_some_and(|(s, _)| s == StatusCode::OK)
+    })
+    .await;
+    fleet.programs[..2].iter().for_each(|program| program.signal(libc::SIGSTOP));
+    for _ in 0..3 {
+        let status = turn(soak.id()).await;
+        assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    fleet.programs[..2].iter().for_each(|program| program.signal(libc::SIGCONT));
+    let give_up = time::Instant::now() + PATIENCE;
+    loop {
+        match turn(soak.id()).await {
+            Some(StatusCode::OK) => break,
+            Some(StatusCode::PAYMENT_REQUIRED) => panic!("refused turns are counted as spent"),
+            other => assert!(time::Instant::now() < give_up, "not served: {other:?}"),
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
