--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod freshness;
 mod ingress;
 mod instance;
+mod place;
 mod pool;
 mod relay;
 mod replica;
--- /dev/null
+++ b/crates/gg-gateway/src/place.rs
@@ -0,0 +1,123 @@
+//! Takes a place on a replica for a job: what is known of each replica goes
+//! into the choice, and jobs wait here while all are full.
+
+use std::sync::Arc;
+
+use gg_ledger::Opened;
+use gg_protocol::{Code, Failure};
+use gg_route::{Deployment, UpstreamId};
+use rand::Rng;
+use tokio::time::{self, Instant};
+
+use crate::{
+    call::refusal,
+    choice::{Candidate, ChoiceSettings, choose},
+    fleet::Service,
+    replica::{Place, Replica},
+    retry::{Next, Tries},
+    state::State,
+    walk::Job,
+};
+
+/// Gateways that are believed to share each replica's connections.
+const GATEWAYS: u32 = 8;
+
+/// Fewest requests of ours that a replica may have.
+const LOAD_MIN: u32 = 3;
+
+/// Share of the time left that a request may wait for a place.
+const WAIT_SHARE: f64 = 0.3;
+
+/// Way to another data centre and back, in ms; calls are small.
+const CALL_FAR_MS: f64 = 3.0;
+
+/// Random part of a replica's cost, in ms, so that equal ones share.
+const DRAW_MS: f64 = 2.0;
+
+/// Takes a place on the best replica that was not tried yet; waits for one
+/// if all are full.
+pub(crate) async fn place<D: Deployment>(
+    state: &State<D>,
+    job: &Job,
+    tried: &[UpstreamId],
+    tries: &Tries,
+    opened: &Opened,
+) -> Result<Place, Failure> {
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    let limit = Instant::now() + left.mul_f64(WAIT_SHARE);
+    let give_up = |message| match tries.end() {
+        Next::GiveUp => Failure::unknown(Code::UpstreamFailed, message),
+        _ => refusal(message),
+    };
+    loop {
+        let Some(service) = state.fleet.service(&job.service.name) else {
+            return Err(give_up("no replica of the service is known"));
+        };
+        let freed = service.freed.clone();
+        let notified = freed.notified();
+        let open = untried(&service, tried);
+        if open.is_empty() {
+            return Err(give_up("no replica is left to try"));
+        }
+        if let Some(replica) = best(state, job, &open, opened) {
+            return Ok(replica.occupy());
+        }
+        if time::timeout_at(limit, notified).await.is_err() {
+            return Err(give_up("all replicas are full"));
+        }
+    }
+}
+
+/// Replicas of a service that take work and were not tried yet.
+pub(crate) fn untried<'a>(service: &'a Service, tried: &[UpstreamId]) -> Vec<&'a Arc<Replica>> {
+    let replicas = service.replicas.iter();
+    replicas.filter(|replica| replica.is_open() && !tried.contains(&replica.upstream.id)).collect()
+}
+
+/// The best of some replicas for a job; `None` if all are full.
+pub(crate) fn best<'a, D>(
+    state: &State<D>,
+    job: &Job,
+    open: &[&'a Arc<Replica>],
+    opened: &Opened,
+) -> Option<&'a Arc<Replica>> {
+    let is_model = job.service.event_tokens > 0;
+    let load_max = (job.service.connections / GATEWAYS).max(LOAD_MIN);
+    let fastest = open.iter().map(|replica| replica.delay_ms()).fold(f64::INFINITY, f64::min);
+    let candidates: Vec<Candidate> = open
+        .iter()
+        .map(|replica| Candidate {
+            load: replica.load(),
+            load_max,
+            is_far: replica.upstream.centre != state.centre,
+            is_warm: match &job.envelope.shared_prefix {
+                Some(prefix) if is_model => replica.is_warm(prefix),
+                _ => true,
+            },
+            is_previous: !is_model || opened.upstream.as_ref() == Some(&replica.upstream.id.name),
+            is_suspect: replica.is_suspect(),
+            delay_ms: (replica.delay_ms() - fastest).max(0.0),
+        })
+        .collect();
+    let settings = match is_model {
+        true => ChoiceSettings::default(),
+        false => ChoiceSettings { far_ms: CALL_FAR_MS, ..ChoiceSettings::default() },
+    };
+    let draw = || rand::rng().random_range(0.0..DRAW_MS);
+    let index = choose(&candidates, opened.history.len(), &settings, draw)?;
+    let (replica, chosen) = (open[index], &candidates[index]);
+    log::info!(
+        "event=placed request={} replica={} candidates={} load={} far={} warm={} previous={} \
+         suspect={} delay_ms={:.0}",
+        job.id(),
+        replica.upstream.id.name,
+        open.len(),
+        chosen.load,
+        chosen.is_far,
+        chosen.is_warm,
+        chosen.is_previous,
+        chosen.is_suspect,
+        chosen.delay_ms
+    );
+    Some(replica)
+}
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     answer::strip_hop_headers,
-    call::{next, place, refusal},
+    call::{next, refusal},
+    place::place,
     relay::{Relay, RelayError, Settle, relay},
     send::{read_whole, send},
     state::State,
