A round to close a turn ends when the set changes

When a newcomer's change ended, turns that were being closed got a refusal of the old epoch from some members, while the links to members that left the set were ended; the round waited for those for 1.5 s and never asked the new set, so 80 streams were cut. Ruled out: slow disks and slow members (no ledger_slow among those asked). Change: a refusal ends the round, and a round lasts 300 ms at most; the next one asks the members of the new set. Closing is idempotent.

--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -49,6 +49,10 @@
 /// Pause between two looks whether enough members are connected.
 const CONNECT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest time of one round to close a turn: members may leave the set
+/// meanwhile, and their links with them. A way and a sync take 10 ms.
+const ROUND_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Pause before the members are asked again after a failed round.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 
@@ -251,7 +255,10 @@
                     most = others.max(most);
                     chain = chain.or(found);
                 }
-                Ok(Some((disk, Ok(other)))) => self.take_refusal(disk, other),
+                Ok(Some((disk, Ok(other)))) => {
+                    self.take_refusal(disk, other);
+                    return Err(LedgerError::Unavailable("the set has changed"));
+                }
                 Ok(Some((_, Err(_)))) => {}
                 // Enough hold it; the chain is read from another member.
                 Ok(None) | Err(_) if is_enough => break,
@@ -414,7 +421,8 @@
         let limit = Instant::now() + CLOSE_TIMEOUT;
         while Instant::now() < limit {
             let view = self.view(self.partition(key));
-            if let Ok(true) = time::timeout_at(limit, self.try_close(&view, &ask)).await {
+            let round = limit.min(Instant::now() + ROUND_TIMEOUT);
+            if let Ok(true) = time::timeout_at(round, self.try_close(&view, &ask)).await {
                 return Ok(());
             }
             time::sleep(ROUND_PAUSE).await;
@@ -432,7 +440,12 @@
         while !view.set.is_written(&holders) {
             match time::timeout(FIRST_PATIENCE, calls.next()).await {
                 Ok(Some((disk, Ok(Answer::Closed)))) => holders.push(disk),
-                Ok(Some((disk, Ok(other)))) => self.take_refusal(disk, other),
+                Ok(Some((disk, Ok(other)))) => {
+                    // The set has changed, and members that left it answer
+                    // no more; the next round asks the new ones.
+                    self.take_refusal(disk, other);
+                    return false;
+                }
                 Ok(Some((_, Err(_)))) => {}
                 Ok(None) | Err(_) => match others.take() {
                     Some(others) => calls.extend(others.iter().map(call)),
