A change of the set under a turn being closed has its test; a refusal ends every round

Reading its neighbours: accounts and chains went on waiting for silent members after a refusal, and calls on the link of a member that left stayed pending until their own limits. Ruled out: waiting for the link's own silence limit (1.5 s), longer than a turn's whole patience. Change: a refusal ends the round wherever one is answered; a link that is given up ends its calls. gg-ledger/tests/close.rs: members behind a proxy that can be silenced; with the mend switched off (refusals ignored, rounds of 3 s) both tests fail, with it both pass.

--- a/crates/gg-fakes/src/fleet.rs
+++ b/crates/gg-fakes/src/fleet.rs
@@ -29,6 +29,9 @@
 /// Longest wait for a daemon to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Lines of a log that are shown with a daemon that does not get ready.
+const LAST_LINES: usize = 40;
+
 /// How a daemon's process is started: program and first arguments; the
 /// settings file is appended.
 #[derive(Clone, Debug)]
@@ -159,6 +162,15 @@
             .unwrap_or(false)
     }
 
+    /// Whether the process runs, and the end of its log.
+    fn last_words(&self) -> String {
+        let state = self.id().and_then(|id| fs::read_to_string(format!("/proc/{id}/stat")).ok());
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        let tail = lines[lines.len().saturating_sub(LAST_LINES)..].join("\n");
+        format!("process {}, log:\n{tail}", state.as_deref().unwrap_or("gone"))
+    }
+
     /// Processor time used so far.
     pub fn cpu(&self) -> Duration {
         let ticks = || -> Option<u64> {
@@ -353,7 +365,8 @@
         let give_up = time::Instant::now() + READY_TIMEOUT;
         for daemon in self.daemons.iter().filter(|daemon| daemon.child.is_some()) {
             while !is_ready(&daemon.operators).await {
-                assert!(time::Instant::now() < give_up, "{} is not ready", daemon.name);
+                let late = time::Instant::now() >= give_up;
+                assert!(!late, "{} is not ready: {}", daemon.name, daemon.last_words());
                 time::sleep(Duration::from_millis(20)).await;
             }
         }
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -133,6 +133,11 @@
         count > 0 && (0..count).all(|partition| self.view(partition as u16).is_usable())
     }
 
+    /// Number of members that are connected and answer in time.
+    pub fn connected(&self) -> usize {
+        lock(&self.state).links.all().filter(|link| link.is_usable()).count()
+    }
+
     /// Asks two instances, the nearest and one in another data centre, what
     /// is new in the directory since these revisions.
     pub async fn news(&self, known: &[(Kind, u64)]) -> Vec<Vec<MirrorNews>> {
@@ -256,8 +261,7 @@
                     chain = chain.or(found);
                 }
                 Ok(Some((disk, Ok(other)))) => {
-                    self.take_refusal(disk, other);
-                    return Err(LedgerError::Unavailable("the set has changed"));
+                    return Err(self.take_refusal(disk, other));
                 }
                 Ok(Some((_, Err(_)))) => {}
                 // Enough hold it; the chain is read from another member.
@@ -299,7 +303,7 @@
                         }
                     }
                 }
-                Some((disk, Ok(other))) => self.take_refusal(disk, other),
+                Some((disk, Ok(other))) => return Err(self.take_refusal(disk, other)),
                 Some((_, Err(_))) => {}
                 None => return Err(LedgerError::Unavailable("too few members know the account")),
             }
@@ -389,7 +393,7 @@
                     return Ok(chain);
                 }
                 Ok(Answer::Fetched(_)) => denied.push(disk),
-                Ok(other) => self.take_refusal(disk, other),
+                Ok(other) => return Err(self.take_refusal(disk, other)),
                 Err(_) => {}
             }
             if is_certain(&denied) {
@@ -441,8 +445,6 @@
             match time::timeout(FIRST_PATIENCE, calls.next()).await {
                 Ok(Some((disk, Ok(Answer::Closed)))) => holders.push(disk),
                 Ok(Some((disk, Ok(other)))) => {
-                    // The set has changed, and members that left it answer
-                    // no more; the next round asks the new ones.
                     self.take_refusal(disk, other);
                     return false;
                 }
@@ -458,10 +460,13 @@
         true
     }
 
-    fn take_refusal(&self, disk: u64, answer: Answer) {
+    /// Learns from a refusal, which ends the round that got it: the set has
+    /// changed, and members that left it answer no more.
+    fn take_refusal(&self, disk: u64, answer: Answer) -> LedgerError {
         match answer {
             Answer::Stale(layout) => self.set_layout(layout),
             other => log::warn!("event=ledger_refused disk={disk} answer={other:?}"),
         }
+        LedgerError::Unavailable("the set has changed")
     }
 }
--- a/crates/gg-ledger/src/link.rs
+++ b/crates/gg-ledger/src/link.rs
@@ -179,10 +179,7 @@
             match connect_socket(self.member.address, CONNECT_TIMEOUT).await {
                 Ok(socket) => {
                     let ended = self.exchange(socket, &mut queued).await;
-                    let was_up = self.is_up.swap(false, Ordering::Relaxed);
-                    *lock(&self.slow_since) = None;
-                    lock(&self.pending).clear();
-                    if was_up {
+                    if self.disconnect() {
                         pause = PAUSES.0;
                         log::warn!(
                             "event=ledger_lost instance={} reason={:?}",
@@ -203,6 +200,14 @@
         }
     }
 
+    /// Ends all calls under way; returns whether the instance was connected.
+    pub(crate) fn disconnect(&self) -> bool {
+        let was_up = self.is_up.swap(false, Ordering::Relaxed);
+        *lock(&self.slow_since) = None;
+        lock(&self.pending).clear();
+        was_up
+    }
+
     async fn exchange(
         &self,
         socket: TcpStream,
--- a/crates/gg-ledger/src/links.rs
+++ b/crates/gg-ledger/src/links.rs
@@ -47,7 +47,10 @@
         let link = Arc::new(link);
         let stop = self.stop.child_token();
         let (running, stopped) = (link.clone(), stop.clone());
-        tokio::spawn(async move { stopped.run_until_cancelled(running.run(queued)).await });
+        tokio::spawn(async move {
+            stopped.run_until_cancelled(running.run(queued)).await;
+            running.disconnect();
+        });
         self.links.insert(disk, (link, stop));
     }
 
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -157,8 +157,8 @@
         lock(&self.shared.mirror)
     }
 
-    /// Takes in a newer layout.
-    pub(crate) fn set_layout(&self, layout: Layout) {
+    /// Takes in a layout; one that is newer in no partition changes nothing.
+    pub fn set_layout(&self, layout: Layout) {
         let lines = {
             let mut book = self.book();
             if book.layout().covers(&layout) {
--- /dev/null
+++ b/crates/gg-ledger/tests/close.rs
@@ -0,0 +1,140 @@
+//! Turns that are closed while the set changes under them.
+
+use std::{net::SocketAddr, time::Duration};
+
+use gg_ledger::{
+    Layout, Ledger, LedgerSet, Member, Node, NodeSettings, OpenRequest, TurnKey, TurnRecord,
+};
+use gg_metrics::{Metrics, Registry};
+use tempfile::TempDir;
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::{self, Instant},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for something that must come about; nothing is asserted on
+/// how long it took.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An instance behind a proxy that can be silenced.
+struct Instance {
+    node: Node,
+    member: Member,
+    silence: watch::Sender<bool>,
+    _folder: TempDir,
+}
+
+impl Instance {
+    async fn start(name: &str, stop: &CancellationToken) -> Self {
+        let folder = TempDir::new().expect("folder");
+        let listen = free_address();
+        let settings =
+            NodeSettings { listen, folder: folder.path().into(), checkpoint_bytes: 1 << 20 };
+        let node = Node::start(settings, Metrics::new(&Registry::default()), stop.clone())
+            .await
+            .expect("a node");
+        let proxy = TcpListener::bind("127.0.0.1:0").await.expect("loopback port");
+        let address = proxy.local_addr().expect("bound address");
+        let (silence, silenced) = watch::channel(false);
+        tokio::spawn(stop.clone().run_until_cancelled_owned(forward(proxy, listen, silenced)));
+        let member =
+            Member { instance: name.into(), disk: node.disk(), address, centre: name.into() };
+        Instance { node, member, silence, _folder: folder }
+    }
+}
+
+/// Forwards connections; bytes stay where they are while silenced.
+async fn forward(proxy: TcpListener, to: SocketAddr, silenced: watch::Receiver<bool>) {
+    while let Ok((near, _)) = proxy.accept().await {
+        let Ok(far) = TcpStream::connect(to).await else { continue };
+        let (near_in, near_out) = near.into_split();
+        let (far_in, far_out) = far.into_split();
+        tokio::spawn(carry(near_in, far_out, silenced.clone()));
+        tokio::spawn(carry(far_in, near_out, silenced.clone()));
+    }
+}
+
+async fn carry(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    mut silenced: watch::Receiver<bool>,
+) {
+    let mut buffer = [0; 4096];
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        let _ = silenced.wait_for(|is_silent| !is_silent).await;
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback port");
+    listener.local_addr().expect("bound address")
+}
+
+fn layout(epoch: u64, members: &[&Instance]) -> Layout {
+    let members = members.iter().map(|instance| instance.member.clone()).collect();
+    Layout { partitions: vec![LedgerSet { epoch, tolerated: 1, members, next: None }] }
+}
+
+fn key(turn: &str) -> TurnKey {
+    TurnKey { turn: turn.into(), program: Some("p".into()) }
+}
+
+fn record(turn: &str) -> TurnRecord {
+    TurnRecord {
+        turn: turn.into(),
+        previous: None,
+        text: "text".into(),
+        upstream: "replica".into(),
+        keep_ms: 60_000,
+    }
+}
+
+/// Closes a turn on members a, b and c after `silent` went silent and d took
+/// the place of `leaver`, which the client has not heard of yet.
+async fn close_across_change(silent: usize, leaver: usize) {
+    let stop = CancellationToken::new();
+    let _stop = stop.clone().drop_guard();
+    let mut instances = Vec::new();
+    for name in ["a", "b", "c", "d"] {
+        instances.push(Instance::start(name, &stop).await);
+    }
+    let [a, b, c, d] = &instances[..] else { unreachable!() };
+    let before = layout(1, &[a, b, c]);
+    let mut members = [a, b, c];
+    members[leaver] = d;
+    let after = layout(3, &members);
+    instances.iter().for_each(|instance| instance.node.set_layout(before.clone()));
+    let ledger = Ledger::new("a".into(), stop.clone());
+    ledger.set_layout(before);
+    let give_up = Instant::now() + PATIENCE;
+    while ledger.connected() < 3 {
+        assert!(Instant::now() < give_up, "the members are not connected");
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    instances[silent].silence.send_replace(true);
+    instances.iter().for_each(|instance| instance.node.set_layout(after.clone()));
+    let closed = ledger.close(&key("t"), Some(10), record("t")).await;
+    closed.expect("two members of the new set hold the turn");
+    let next = OpenRequest { key: key("u"), previous: Some("t".into()), budget: None };
+    let opened = ledger.open(&next, Instant::now() + PATIENCE).await.expect("an answer");
+    assert_eq!(opened.history, "text");
+}
+
+/// The link to a silent member that left has gone: nothing comes from it.
+#[tokio::test]
+async fn silent_member_leaves() {
+    close_across_change(1, 1).await;
+}
+
+/// One member is silent, another one leaves: the two that are asked at first
+/// are the silent one and one that refuses the old epoch.
+#[tokio::test]
+async fn another_member_leaves() {
+    close_across_change(1, 2).await;
+}
