New work is refused at once while the replicas can't finish it in time

Change: gg-dispatch::Admission, a plain type for each service. A majority of answers that begin late, or streams slower than twice the pace of free replicas, lower the limit on requests under way; above it a program's first turn, or a request outside any, is refused with a Retry-After within its objective; work under way never is. Lower ranks fill less of the limit, and get in at least half as often as all. Ledger instances count the gateways that ask for news, so the floor is a gateway's part of the places. Tests: gg-dispatch/tests/admission.rs.

--- /dev/null
+++ b/crates/gg-dispatch/src/admission.rs
@@ -0,0 +1,210 @@
+//! Whether new work is let in, by how the work under way fares.
+//!
+//! Answers the load pattern in which more programs begin than the replicas
+//! can finish in time: if all are let in, all wait alike and all are late.
+//! Work under way is never refused here, so what was begun finishes, and the
+//! rest hears at once when to come back.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// Weight of the newest answer in the share of late ones.
+const WEIGHT: f64 = 0.1;
+
+/// An answer that is produced this many times slower than on free replicas is
+/// late. Past twice the time of an idle system, more load adds waiting and
+/// hardly any work done (Kleinrock's power).
+const PACE_STRETCH: f64 = 2.0;
+
+/// Weight of a faster answer in the pace of free replicas.
+const PACE_WEIGHT: f64 = 0.25;
+
+/// Time in which the pace of free replicas is believed to have become twice
+/// as slow, if no fast answer shows otherwise.
+const PACE_DOUBLING: Duration = Duration::from_secs(600);
+
+/// Time between two changes of the limit; a replica's queue takes longer to
+/// grow or shrink visibly.
+const STEP: Duration = Duration::from_millis(100);
+
+/// With more than this share of answers late, replicas have queues: one slow
+/// replica among several doesn't show as a majority.
+const LATE_HIGH: f64 = 0.5;
+
+/// With less than this share late there is room for more.
+const LATE_LOW: f64 = 0.25;
+
+/// Factor on the limit in a step with too many late answers: half in about a
+/// second, as long as a turn takes.
+const DECREASE: f64 = 0.95;
+
+/// Requests added to the limit in a step with room.
+const INCREASE: f64 = 0.2;
+
+/// Part of the limit that the next lower rank may fill; the rest is kept for
+/// more urgent work.
+const RANK_SHARE: f64 = 0.8;
+
+/// A rank that gets in less often than this share of all counts as starved
+/// and is let in as if it were the most urgent one.
+const FLOOR_SHARE: f64 = 0.5;
+
+/// Past that floors and forecasts look at.
+const HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// Offers of a rank below which it doesn't matter any more.
+const OFFERS_MIN: f64 = 0.01;
+
+/// Refused work should come back after this share of its objective, up to
+/// three times as long: places get free all the time, and work that comes
+/// later would be late even if it were let in.
+const RETRY_SHARE: f64 = 0.25;
+
+/// A piece of work that would begin here.
+#[derive(Clone, Copy, Debug)]
+pub struct NewWork {
+    /// Its rank; 0 is the most urgent.
+    pub rank: u8,
+    /// Time within which it should be answered.
+    pub objective: Duration,
+    /// Requests of ours on the replicas of the service.
+    pub under_way: u32,
+    /// Requests below which nothing is refused: our part of the places that
+    /// replicas have.
+    pub floor: f64,
+}
+
+/// Work that is turned away.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refusal {
+    /// When it should come back.
+    pub retry: Duration,
+    /// Limit in force for its rank.
+    pub limit: f64,
+    /// Share of recent answers that began late.
+    pub late: f64,
+    /// Share of recent answers that were produced slowly.
+    pub slow: f64,
+}
+
+/// Recent offers of one rank.
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    offered: f64,
+    admitted: f64,
+}
+
+/// Lets new work of one service in, or not.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// Share of recent answers that began late.
+    late: f64,
+    /// Share of recent answers that were produced slowly.
+    slow: f64,
+    /// Time between events on free replicas, in ms, and when it was last
+    /// updated.
+    pace: Option<(f64, Instant)>,
+    /// Most requests under way; infinite until answers come late.
+    limit: f64,
+    stepped: Instant,
+    demands: BTreeMap<u8, Demand>,
+    faded: Instant,
+}
+
+impl Admission {
+    /// Lets everything in until answers come late.
+    pub fn new(now: Instant) -> Self {
+        Admission {
+            late: 0.0,
+            slow: 0.0,
+            pace: None,
+            limit: f64::INFINITY,
+            stepped: now,
+            demands: BTreeMap::new(),
+            faded: now,
+        }
+    }
+
+    /// Takes in whether an answer began late, with `under_way` requests of
+    /// ours on the replicas.
+    pub fn note(&mut self, is_late: bool, under_way: u32, now: Instant) {
+        self.late += WEIGHT * (f64::from(u8::from(is_late)) - self.late);
+        self.step(under_way, now);
+    }
+
+    /// Takes in the mean time between the events of a stream, in ms.
+    pub fn note_pace(&mut self, pace_ms: f64, under_way: u32, now: Instant) {
+        let free = match self.pace {
+            None => pace_ms,
+            Some((free, at)) => {
+                let age = now.saturating_duration_since(at).as_secs_f64();
+                let free = free * 2_f64.powf(age / PACE_DOUBLING.as_secs_f64());
+                free + PACE_WEIGHT * (pace_ms - free).min(0.0)
+            }
+        };
+        self.pace = Some((free, now));
+        let is_slow = pace_ms > PACE_STRETCH * free;
+        self.slow += WEIGHT * (f64::from(u8::from(is_slow)) - self.slow);
+        self.step(under_way, now);
+    }
+
+    /// Moves the limit, at most once in each [`STEP`].
+    fn step(&mut self, under_way: u32, now: Instant) {
+        if now.saturating_duration_since(self.stepped) < STEP {
+            return;
+        }
+        self.stepped = now;
+        let worst = self.late.max(self.slow);
+        if worst > LATE_HIGH {
+            self.limit = self.limit.min(f64::from(under_way)) * DECREASE;
+        } else if worst < LATE_LOW {
+            self.limit += INCREASE;
+        }
+    }
+
+    /// Decides on new work. `draw` is random between 0 and 1: it rounds the
+    /// limit, which is small where many gateways share the replicas, and
+    /// spreads the return of what is refused.
+    pub fn admit(&mut self, work: NewWork, now: Instant, draw: f64) -> Result<(), Refusal> {
+        self.fade(now);
+        let limit = self.limit.max(work.floor) * self.share(work.rank);
+        let is_admitted = f64::from(work.under_way) + draw < limit;
+        let demand = self.demands.entry(work.rank).or_default();
+        demand.offered += 1.0;
+        if is_admitted {
+            demand.admitted += 1.0;
+            return Ok(());
+        }
+        let retry = work.objective.mul_f64(RETRY_SHARE * (1.0 + 2.0 * draw));
+        Err(Refusal { retry, limit, late: self.late, slow: self.slow })
+    }
+
+    /// Part of the limit that work of a rank may fill.
+    fn share(&self, rank: u8) -> f64 {
+        if self.is_starved(rank) {
+            return 1.0;
+        }
+        let more_urgent = self.demands.range(..rank).count();
+        RANK_SHARE.powi(i32::try_from(more_urgent).unwrap_or(i32::MAX))
+    }
+
+    fn is_starved(&self, rank: u8) -> bool {
+        let Some(own) = self.demands.get(&rank) else { return false };
+        let sum = |part: fn(&Demand) -> f64| self.demands.values().map(part).sum::<f64>();
+        let (offered, admitted) = (sum(|demand| demand.offered), sum(|demand| demand.admitted));
+        own.admitted * offered < FLOOR_SHARE * own.offered * admitted
+    }
+
+    fn fade(&mut self, now: Instant) {
+        let age = now.saturating_duration_since(self.faded);
+        self.faded = now;
+        let rest = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        for demand in self.demands.values_mut() {
+            demand.offered *= rest;
+            demand.admitted *= rest;
+        }
+        self.demands.retain(|_, demand| demand.offered > OFFERS_MIN);
+    }
+}
--- a/crates/gg-dispatch/src/lib.rs
+++ b/crates/gg-dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! assert!(budget.spend());
 //! ```
 
+mod admission;
 mod dispatcher;
 mod fairness;
 mod limit;
@@ -22,6 +23,7 @@
 mod replica;
 mod retry;
 
+pub use admission::{Admission, NewWork, Refusal};
 pub use dispatcher::{DispatchSettings, Dispatcher};
 pub use fairness::Shares;
 pub use limit::{AdaptiveLimit, LimitSettings};
--- /dev/null
+++ b/crates/gg-dispatch/tests/admission.rs
@@ -0,0 +1,124 @@
+//! Whether new work is let in, replayed with the loads that it answers.
+
+use std::time::{Duration, Instant};
+
+use gg_dispatch::{Admission, NewWork};
+
+const TICK: Duration = Duration::from_millis(10);
+
+fn work(rank: u8, under_way: u32) -> NewWork {
+    NewWork { rank, objective: Duration::from_millis(200), under_way, floor: 2.0 }
+}
+
+/// Notes answers for a while, so many of ten late.
+fn note(admission: &mut Admission, late_of_ten: u32, under_way: u32, now: &mut Instant) {
+    for answer in 0..200 {
+        *now += TICK;
+        admission.note(answer % 10 < late_of_ten, under_way, *now);
+    }
+}
+
+fn is_admitted(admission: &mut Admission, rank: u8, under_way: u32, now: Instant) -> bool {
+    admission.admit(work(rank, under_way), now, 0.5).is_ok()
+}
+
+#[test]
+fn calm_lets_all_in() {
+    let mut now = Instant::now();
+    let mut admission = Admission::new(now);
+    note(&mut admission, 0, 10, &mut now);
+    assert!(is_admitted(&mut admission, 0, 1_000, now));
+    assert!(is_admitted(&mut admission, 2, 1_000, now));
+}
+
+/// One slow replica of five, or one that is cold, is no overload.
+#[test]
+fn minority_late() {
+    let mut now = Instant::now();
+    let mut admission = Admission::new(now);
+    note(&mut admission, 3, 10, &mut now);
+    assert!(is_admitted(&mut admission, 0, 1_000, now));
+}
+
+#[test]
+fn late_answers_close() {
+    let mut now = Instant::now();
+    let mut admission = Admission::new(now);
+    note(&mut admission, 10, 20, &mut now);
+    assert!(!is_admitted(&mut admission, 0, 20, now));
+    assert!(is_admitted(&mut admission, 0, 1, now), "below the floor nothing is refused");
+    note(&mut admission, 0, 20, &mut now);
+    assert!(is_admitted(&mut admission, 0, 5, now), "opens again with good answers");
+}
+
+#[test]
+fn slow_streams_close() {
+    let mut now = Instant::now();
+    let mut admission = Admission::new(now);
+    let pace = |admission: &mut Admission, pace_ms: f64, now: &mut Instant| {
+        for _ in 0..200 {
+            *now += TICK;
+            admission.note_pace(pace_ms, 20, *now);
+        }
+    };
+    pace(&mut admission, 25.0, &mut now);
+    pace(&mut admission, 45.0, &mut now);
+    assert!(is_admitted(&mut admission, 0, 20, now), "less than twice the free pace");
+    pace(&mut admission, 60.0, &mut now);
+    assert!(!is_admitted(&mut admission, 0, 20, now));
+}
+
+#[test]
+fn urgent_goes_first() {
+    let mut now = Instant::now();
+    let mut admission = Admission::new(now);
+    note(&mut admission, 10, 20, &mut now);
+    note(&mut admission, 3, 20, &mut now);
+    // The limit stays as it is: some late, some not.
+    let limit = admission.admit(work(0, 1_000), now, 0.5).expect_err("full").limit;
+    let nearly = (limit * 0.9) as u32;
+    // Both ranks get in as often as each other before the place gets scarce.
+    for _ in 0..20 {
+        is_admitted(&mut admission, 0, 0, now);
+        is_admitted(&mut admission, 2, 0, now);
+    }
+    assert!(is_admitted(&mut admission, 0, nearly, now));
+    assert!(!is_admitted(&mut admission, 2, nearly, now));
+}
+
+/// However many urgent ones come, the lower rank gets in half as often as
+/// all do.
+#[test]
+fn lower_rank_keeps_floor() {
+    let mut now = Instant::now();
+    let mut admission = Admission::new(now);
+    note(&mut admission, 10, 20, &mut now);
+    note(&mut admission, 3, 20, &mut now);
+    let limit = admission.admit(work(0, 1_000), now, 0.5).expect_err("full").limit;
+    let mut admitted = [0_u32; 2];
+    let mut offered = [0_u32; 2];
+    for step in 0..4_000_u32 {
+        now += TICK;
+        // Work under way varies between just full and just not full.
+        let under_way = (limit as u32).saturating_sub(step % 2);
+        let rank = u8::from(step % 4 == 3);
+        offered[usize::from(rank)] += 1;
+        let is_in = is_admitted(&mut admission, rank, under_way, now);
+        admitted[usize::from(rank)] += u32::from(is_in);
+    }
+    let share = |rank: usize| f64::from(admitted[rank]) / f64::from(offered[rank]);
+    assert!(share(0) > 0.1, "{admitted:?} of {offered:?}");
+    assert!(share(1) > 0.4 * share(0), "{admitted:?} of {offered:?}");
+}
+
+/// Refused work comes back while it can still be in time, and not together.
+#[test]
+fn return_is_spread() {
+    let mut now = Instant::now();
+    let mut admission = Admission::new(now);
+    note(&mut admission, 10, 20, &mut now);
+    let retries = [0.0, 0.5, 0.99].map(|draw| {
+        admission.admit(work(0, 1_000), now, draw).expect_err("full").retry.as_millis()
+    });
+    assert_eq!(retries, [50, 100, 149]);
+}
--- /dev/null
+++ b/crates/gg-gateway/src/admit.rs
@@ -0,0 +1,118 @@
+//! Lets new work in while the replicas can finish it in time.
+
+use std::time::{Duration, Instant};
+
+use gg_dispatch::{Admission, NewWork};
+use gg_protocol::{Code, Failure, Name};
+use gg_route::RouteKind;
+use rand::Rng;
+
+use crate::{
+    fleet::Service,
+    state::{State, lock},
+    walk::Job,
+};
+
+/// A stream whose first event takes longer than this share of its objective
+/// waited at the replica; on free ones it takes a tenth.
+const STREAM_LATE_SHARE: f64 = 0.25;
+
+/// The same for a call's whole answer, most of which is its work.
+const CALL_LATE_SHARE: f64 = 0.6;
+
+/// While less than this share of the replicas' places are taken, nothing is
+/// refused.
+const PLACES_SHARE: f64 = 0.25;
+
+/// Decides on a request that begins something: the first turn of a program,
+/// or a request outside any. Everything else belongs to work under way, which
+/// has been let in already.
+pub(crate) fn admit<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
+    let turn = &job.envelope.turn;
+    let is_new = match job.route.kind {
+        RouteKind::Stream => turn.previous.is_none(),
+        _ => turn.program.is_none(),
+    };
+    let Some(service) = state.fleet.service(&job.service.name).filter(|_| is_new) else {
+        return Ok(());
+    };
+    let places: u32 = service.replicas.iter().map(|replica| replica.upstream.slots).sum();
+    let work = NewWork {
+        rank: job.route.rank,
+        objective: job.route.target,
+        under_way: under_way(&service),
+        floor: f64::from(places) * PLACES_SHARE / f64::from(state.gateways()),
+    };
+    let draw = rand::rng().random_range(0.0..1.0);
+    let decided = with(state, &job.service.name, |admission, now| admission.admit(work, now, draw));
+    let Err(refusal) = decided else { return Ok(()) };
+    let retry_ms = refusal.retry.as_millis() as u64;
+    state.metrics.count("refused_new", &[("rank", &work.rank.to_string())]);
+    log::info!(
+        "event=refused_new request={} service={} rank={} under_way={} limit={:.1} floor={:.1} \
+         late={:.2} slow={:.2} retry_ms={retry_ms}",
+        job.id(),
+        job.service.name,
+        work.rank,
+        work.under_way,
+        refusal.limit,
+        work.floor,
+        refusal.late,
+        refusal.slow,
+    );
+    let message = "the replicas can't finish more in time now";
+    Err(Failure::not_run(Code::Overloaded, message).retry_in(retry_ms))
+}
+
+/// Takes in how long a replica took until a stream's first event, or for a
+/// whole call.
+pub(crate) fn note_delay<D>(state: &State<D>, job: &Job, delay: Duration) {
+    let share = match job.route.kind {
+        RouteKind::Stream => STREAM_LATE_SHARE,
+        _ => CALL_LATE_SHARE,
+    };
+    note(state, job, delay > job.route.target.mul_f64(share));
+}
+
+/// Fewest events of a stream that tell its pace.
+const PACE_EVENTS_MIN: u32 = 4;
+
+/// Takes in that a stream's `events` came within `time` of the first one.
+pub(crate) fn note_pace<D>(state: &State<D>, job: &Job, events: u32, time: Duration) {
+    let Some(service) = state.fleet.service(&job.service.name) else { return };
+    if events < PACE_EVENTS_MIN {
+        return;
+    }
+    let pace_ms = time.as_secs_f64() * 1e3 / f64::from(events - 1);
+    let under_way = under_way(&service);
+    with(state, &job.service.name, |admission, now| {
+        admission.note_pace(pace_ms, under_way, now);
+    });
+}
+
+/// Takes in that a replica was full, or gave no answer in time.
+pub(crate) fn note_full<D>(state: &State<D>, job: &Job) {
+    note(state, job, true);
+}
+
+fn note<D>(state: &State<D>, job: &Job, is_late: bool) {
+    let Some(service) = state.fleet.service(&job.service.name) else { return };
+    let under_way = under_way(&service);
+    with(state, &job.service.name, |admission, now| admission.note(is_late, under_way, now));
+}
+
+/// Requests of ours on the replicas of a service.
+fn under_way(service: &Service) -> u32 {
+    service.replicas.iter().map(|replica| replica.load()).sum()
+}
+
+fn with<D, T>(
+    state: &State<D>,
+    service: &Name,
+    act: impl FnOnce(&mut Admission, Instant) -> T,
+) -> T {
+    let now = Instant::now();
+    let mut admissions = lock(&state.admissions);
+    let admission = admissions.entry(service.clone()).or_insert_with(|| Admission::new(now));
+    act(admission, now)
+}
--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -13,6 +13,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
+    admit::{admit, note_delay},
     answer::strip_hop_headers,
     place::{best, place, untried},
     replica::Place,
@@ -37,6 +38,7 @@
     state: &State<D>,
     job: &Arc<Job>,
 ) -> Result<Response<Full<Bytes>>, Failure> {
+    admit(state, job)?;
     let mut tries = job.tries();
     let mut tried = Vec::new();
     let mut attempts = FuturesUnordered::new();
@@ -98,6 +100,7 @@
     let status = sent.response.status();
     let (mut headers, body, lease) = read_whole(job, sent).await?;
     replica.note_delay(began.elapsed().as_secs_f64() * 1e3);
+    note_delay(state, job, began.elapsed());
     lease.keep(&headers);
     strip_hop_headers(&mut headers);
     let mut response = Response::new(Full::new(body));
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -49,7 +49,8 @@
     let ready = listen(settings.ready)?;
     // Cancelled when nothing is under way any more.
     let stop = CancellationToken::new();
-    let ledger = Ledger::new(settings.centre.clone(), stop.child_token());
+    let ledger =
+        Ledger::new(settings.instance.clone(), settings.centre.clone(), stop.child_token());
     let registry = Registry::default();
     let metrics = Metrics::new(&registry);
     let state = Arc::new(State::new(deployment, settings.centre.clone(), ledger, metrics));
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! A request's walk stands in `walk.rs`; each step has a module of its own.
 
+mod admit;
 mod answer;
 mod call;
 mod choice;
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -19,9 +19,6 @@
     walk::Job,
 };
 
-/// Gateways that are believed to share each replica's connections.
-const GATEWAYS: u32 = 8;
-
 /// Fewest requests of ours that a replica may have.
 const LOAD_MIN: u32 = 3;
 
@@ -82,7 +79,7 @@
     opened: &Opened,
 ) -> Option<&'a Arc<Replica>> {
     let is_model = job.service.event_tokens > 0;
-    let load_max = (job.service.connections / GATEWAYS).max(LOAD_MIN);
+    let load_max = (job.service.connections / state.gateways()).max(LOAD_MIN);
     let fastest = open.iter().map(|replica| replica.delay_ms()).fold(f64::INFINITY, f64::min);
     let candidates: Vec<Candidate> = open
         .iter()
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -14,7 +14,12 @@
 use quick_error::quick_error;
 use tokio::time::{self, Instant};
 
-use crate::{send::Lease, state::State, walk::Job};
+use crate::{
+    admit::{note_delay, note_pace},
+    send::Lease,
+    state::State,
+    walk::Job,
+};
 
 /// Others go first for this long after a replica broke a stream off.
 const FAILED_TIME: Duration = Duration::from_millis(1_000);
@@ -80,7 +85,8 @@
     began: Instant,
     /// History that is kept with another program, and now with this turn too.
     foreign: Option<Bytes>,
-    is_begun: bool,
+    /// When the first event came.
+    first: Option<Instant>,
     is_over: bool,
 }
 
@@ -102,7 +108,7 @@
             passed: BytesMut::new(),
             began,
             foreign,
-            is_begun: false,
+            first: None,
             is_over: false,
         }
     }
@@ -126,16 +132,21 @@
         if let Some(lease) = self.lease.take() {
             lease.keep(&self.headers);
         }
+        if let Some(first) = self.first {
+            let settle = &self.settle;
+            note_pace(&settle.state, &settle.job, settle.events, first.elapsed());
+        }
         self.keep().await?;
         Ok(None)
     }
 
     fn note(&mut self, data: &Bytes) {
-        if !self.is_begun {
-            self.is_begun = true;
+        if self.first.is_none() {
+            self.first = Some(Instant::now());
             if let Some(lease) = &self.lease {
                 let replica = lease.replica();
                 replica.note_delay(self.began.elapsed().as_secs_f64() * 1e3);
+                note_delay(&self.settle.state, &self.settle.job, self.began.elapsed());
                 if let Some(prefix) = &self.settle.job.envelope.shared_prefix {
                     replica.set_warm(prefix);
                 }
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -10,6 +10,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
+    admit::note_full,
     answer::strip_hop_headers,
     pool::Connection,
     replica::{Place, Replica},
@@ -91,6 +92,7 @@
         }
         Err(_) => {
             log::warn!("event=no_answer request={} replica={}", job.id(), replica.upstream.id.name);
+            note_full(state, job);
             return Err(Outcome::Unknown);
         }
     };
@@ -106,7 +108,7 @@
     }
     let sent = Sent { response, marks, lease };
     if marks.is_unexecuted || sent.response.status() == http::StatusCode::MISDIRECTED_REQUEST {
-        return Err(refused(job, sent).await);
+        return Err(refused(state, job, sent).await);
     }
     if !is_trusted(&sent) {
         log::warn!(
@@ -121,7 +123,7 @@
 }
 
 /// A replica that says that it did not run the request.
-async fn refused(job: &Job, sent: Sent) -> Outcome {
+async fn refused<D>(state: &State<D>, job: &Job, sent: Sent) -> Outcome {
     let replica = sent.lease.replica().clone();
     let status = sent.response.status();
     log::info!(
@@ -130,10 +132,13 @@
         replica.upstream.id.name,
         status.as_u16()
     );
-    replica.suspect(match status {
-        http::StatusCode::SERVICE_UNAVAILABLE | http::StatusCode::TOO_MANY_REQUESTS => FULL_TIME,
-        _ => FAILED_TIME,
-    });
+    match status {
+        http::StatusCode::SERVICE_UNAVAILABLE | http::StatusCode::TOO_MANY_REQUESTS => {
+            note_full(state, job);
+            replica.suspect(FULL_TIME);
+        }
+        _ => replica.suspect(FAILED_TIME),
+    }
     // The refusal stands whatever its body holds; the connection is kept
     // only if that ends as it should.
     if let Ok((headers, _, lease)) = read_whole(job, sent).await {
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -1,11 +1,14 @@
 //! What the parts of a gateway share.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, RwLock,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
-use gg_dispatch::RetryBudget;
+use gg_dispatch::{Admission, RetryBudget};
 use gg_ledger::Ledger;
 use gg_metrics::Metrics;
 use gg_protocol::Name;
@@ -20,6 +23,10 @@
 /// Second sends that may come at once.
 const HEDGE_BURST: f64 = 10.0;
 
+/// Gateways that are believed to share the replicas before any ledger
+/// instance has told their number.
+const GATEWAYS_DEFAULT: u32 = 8;
+
 /// State of one gateway. `D` translates heads.
 #[derive(Debug)]
 pub(crate) struct State<D> {
@@ -30,6 +37,8 @@
     pub(crate) metrics: Metrics,
     /// Second sends beside silent ones, as a share of answers.
     pub(crate) hedges: Mutex<RetryBudget>,
+    /// Whether new work is let in, by service.
+    pub(crate) admissions: Mutex<HashMap<Name, Admission>>,
     table: RwLock<Option<Arc<RouteTable>>>,
     is_stopping: AtomicBool,
 }
@@ -43,6 +52,7 @@
             centre,
             ledger,
             fleet: Fleet::default(),
+            admissions: Mutex::default(),
             table: RwLock::default(),
             is_stopping: AtomicBool::new(false),
         }
@@ -70,6 +80,14 @@
         }
     }
 
+    /// Gateways that share the replicas, this one included.
+    pub(crate) fn gateways(&self) -> u32 {
+        match self.ledger.clients() {
+            0 => GATEWAYS_DEFAULT,
+            clients => clients,
+        }
+    }
+
     /// Sets the gauges, just before they are read.
     pub(crate) fn refresh_gauges(&self) {
         let version = self.table().map_or(0, |table| table.version);
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    admit::admit,
     answer::strip_hop_headers,
     call::{next, refusal},
     place::place,
@@ -28,6 +29,7 @@
     state: &Arc<State<D>>,
     job: &Arc<Job>,
 ) -> Result<Answer<impl Stream<Item = Result<Frame<Bytes>, RelayError>> + Send + use<D>>, Failure> {
+    admit(state, job)?;
     let opened = open(state, job).await?;
     // Settles what was set aside however the turn ends.
     let settle = Settle::new(state.clone(), job.clone());
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -3,7 +3,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -92,7 +95,10 @@
 /// Client of the ledger.
 #[derive(Debug)]
 pub struct Ledger {
+    client: Name,
     centre: Name,
+    /// Clients as last heard of; 0 if not heard of.
+    clients: AtomicU32,
     state: Mutex<State>,
 }
 
@@ -103,10 +109,17 @@
 }
 
 impl Ledger {
-    /// A client without members; its links end when `stop` is cancelled.
-    pub fn new(centre: Name, stop: CancellationToken) -> Self {
+    /// The client named `client`, without members; its links end when `stop`
+    /// is cancelled.
+    pub fn new(client: Name, centre: Name, stop: CancellationToken) -> Self {
         let state = State { layout: Arc::default(), links: Links::new(None, stop) };
-        Ledger { centre, state: Mutex::new(state) }
+        Ledger { client, centre, clients: AtomicU32::new(0), state: Mutex::new(state) }
+    }
+
+    /// Number of clients that ask for news, this one included; 0 before any
+    /// news.
+    pub fn clients(&self) -> u32 {
+        self.clients.load(Ordering::Relaxed)
     }
 
     /// Takes in a layout; one that is newer in no partition changes nothing.
@@ -143,13 +156,18 @@
     pub async fn news(&self, known: &[(Kind, u64)]) -> Vec<Vec<MirrorNews>> {
         let scope = Scope { partition: 0, epoch: 0 };
         let calls = self.news_sources().into_iter().map(async |link| {
-            let call = link.call(scope, Ask::News(known.to_vec()));
-            match time::timeout(NEWS_TIMEOUT, call).await {
-                Ok(Ok(Answer::News(news))) => Some(news),
+            let ask = Ask::News { from: self.client.clone(), known: known.to_vec() };
+            match time::timeout(NEWS_TIMEOUT, link.call(scope, ask)).await {
+                Ok(Ok(Answer::News { news, askers })) => Some((news, askers)),
                 _ => None,
             }
         });
-        join_all(calls).await.into_iter().flatten().collect()
+        let answers: Vec<_> = join_all(calls).await.into_iter().flatten().collect();
+        // An instance that has just started knows of few.
+        if let Some(clients) = answers.iter().map(|(_, askers)| *askers).max() {
+            self.clients.store(clients, Ordering::Relaxed);
+        }
+        answers.into_iter().map(|(news, _)| news).collect()
     }
 
     fn news_sources(&self) -> Vec<Arc<Link>> {
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -7,6 +7,7 @@
 //! acknowledged. The set of instances that count is agreed in the platform's
 //! directory and changes in two steps ([`LedgerSet`]).
 
+mod askers;
 mod book;
 mod client;
 mod entry;
@@ -24,6 +25,7 @@
 mod set;
 mod view;
 
+pub use askers::Askers;
 pub use client::{Ledger, OpenRequest, Opened, TurnKey};
 pub use entry::{Line, Placed, TurnRecord};
 pub use error::LedgerError;
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -11,6 +11,7 @@
 use gg_http::listen_socket;
 use gg_metrics::Metrics;
 use gg_platform::Mirror;
+use gg_protocol::Name;
 use quick_error::quick_error;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -19,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Layout, LedgerSet, Line, LogFile, LogSettings, Placed,
+    Askers, Layout, LedgerSet, Line, LogFile, LogSettings, Placed,
     book::Book,
     log_file::encode_line,
     pull::{self, PullError},
@@ -77,6 +78,7 @@
     book: Mutex<Book>,
     /// Copy of the directory for the gateways.
     mirror: Mutex<Mirror>,
+    askers: Mutex<Askers>,
     commits: mpsc::Sender<Commit>,
     metrics: Metrics,
 }
@@ -121,6 +123,7 @@
             disk: recovered.disk,
             book: Mutex::new(book),
             mirror: Mutex::default(),
+            askers: Mutex::default(),
             commits,
             metrics,
         };
@@ -157,6 +160,11 @@
         lock(&self.shared.mirror)
     }
 
+    /// Takes in that a client asks for news; returns how many ask.
+    pub(crate) fn note_asker(&self, name: Name) -> u32 {
+        lock(&self.shared.askers).note(name, Instant::now())
+    }
+
     /// Takes in a layout; one that is newer in no partition changes nothing.
     pub fn set_layout(&self, layout: Layout) {
         let lines = {
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -72,8 +72,13 @@
     },
     /// Show that the instance is there.
     Ping,
-    /// Tell what is new in the directory since these revisions.
-    News(Vec<(Kind, u64)>),
+    /// Tell what is new in the directory.
+    News {
+        /// Client that asks.
+        from: Name,
+        /// Revisions that it knows.
+        known: Vec<(Kind, u64)>,
+    },
     /// Tell how far the partition is copied.
     Status,
     /// Send everything of the partition, as [`Answer::Part`]s.
@@ -108,7 +113,12 @@
     /// Reply to [`Ask::Ping`].
     Here,
     /// Reply to [`Ask::News`].
-    News(Vec<MirrorNews>),
+    News {
+        /// What is new.
+        news: Vec<MirrorNews>,
+        /// Clients that asked lately.
+        askers: u32,
+    },
     /// Reply to [`Ask::Status`].
     Status {
         /// Epoch for which the instance has copied everything, if it did.
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -107,9 +107,10 @@
             send(replies, id, Answer::Fetched(chain)).await;
         }
         Ask::Ping => send(replies, id, Answer::Here).await,
-        Ask::News(known) => {
+        Ask::News { from, known } => {
             let news = node.mirror().news(&known);
-            send(replies, id, Answer::News(news)).await;
+            let askers = node.note_asker(from);
+            send(replies, id, Answer::News { news, askers }).await;
         }
         Ask::Status => {
             let copied = node.book().copied(partition);
@@ -131,14 +132,14 @@
     }
     let mut book = node.book();
     let is_stale = match &request.ask {
-        Ask::Ping | Ask::News(_) => false,
+        Ask::Ping | Ask::News { .. } => false,
         Ask::Find { epochs, .. } => book.is_ahead_of(epochs),
         _ => request.epoch < book.epoch(request.partition),
     };
     if is_stale {
         return Some(Answer::Stale(book.layout().clone()));
     }
-    if matches!(request.ask, Ask::Ping | Ask::News(_) | Ask::Find { .. }) {
+    if matches!(request.ask, Ask::Ping | Ask::News { .. } | Ask::Find { .. }) {
         return None;
     }
     // The line that keeps the epoch follows with the next sync.
--- a/crates/gg-ledger/tests/close.rs
+++ b/crates/gg-ledger/tests/close.rs
@@ -110,7 +110,7 @@
     members[leaver] = d;
     let after = layout(3, &members);
     instances.iter().for_each(|instance| instance.node.set_layout(before.clone()));
-    let ledger = Ledger::new("a".into(), stop.clone());
+    let ledger = Ledger::new("client".into(), "a".into(), stop.clone());
     ledger.set_layout(before);
     let give_up = Instant::now() + PATIENCE;
     while ledger.connected() < 3 {
