The limit of admission follows what does well; its floor is half of the places

Change: with few late answers the limit is at least what is under way; nothing is refused below half of a gateway's part of the places.

--- a/crates/gg-dispatch/src/admission.rs
+++ b/crates/gg-dispatch/src/admission.rs
@@ -160,7 +160,8 @@
         if worst > LATE_HIGH {
             self.limit = self.limit.min(f64::from(under_way)) * DECREASE;
         } else if worst < LATE_LOW {
-            self.limit += INCREASE;
+            // What is under way does well, so as much may be.
+            self.limit = self.limit.max(f64::from(under_way)) + INCREASE;
         }
     }
 
--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -22,7 +22,7 @@
 
 /// While less than this share of the replicas' places are taken, nothing is
 /// refused.
-const PLACES_SHARE: f64 = 0.25;
+const PLACES_SHARE: f64 = 0.5;
 
 /// Decides on a request that begins something: the first turn of a program,
 /// or a request outside any. Everything else belongs to work under way, which
