Gateways hear through ledger instances how answers fare everywhere; a third late closes

Cause: at 79 gateways each sees a few answers a second, so a flood of four times was noticed after four seconds; and with load spread unevenly, half of the answers are late only when nearly all programs are. Change: counts of late and slow answers travel with the news that gateways ask of ledger instances every 300 ms; more than 0.35 of answers late or slow lower the limit, fewer than 0.2 raise it (0.5 and 0.25 before).

--- a/crates/gg-dispatch/src/admission.rs
+++ b/crates/gg-dispatch/src/admission.rs
@@ -10,8 +10,14 @@
     time::{Duration, Instant},
 };
 
-/// Weight of the newest answer in the share of late ones.
-const WEIGHT: f64 = 0.1;
+use gg_protocol::Strain;
+
+/// Past that the shares of late and slow answers look at.
+const ANSWERS_HALF_LIFE: Duration = Duration::from_millis(500);
+
+/// What other gateways saw counts for this long; they tell several times as
+/// often.
+const SHARED_TIME: Duration = Duration::from_secs(1);
 
 /// An answer that is produced this many times slower than on free replicas is
 /// late. Past twice the time of an idle system, more load adds waiting and
@@ -29,12 +35,12 @@
 /// grow or shrink visibly.
 const STEP: Duration = Duration::from_millis(100);
 
-/// With more than this share of answers late, replicas have queues: one slow
-/// replica among several doesn't show as a majority.
-const LATE_HIGH: f64 = 0.5;
+/// With more than this share of answers late or slow, replicas have queues:
+/// one slow replica among several doesn't show as a majority.
+const LATE_HIGH: f32 = 0.35;
 
 /// With less than this share late there is room for more.
-const LATE_LOW: f64 = 0.25;
+const LATE_LOW: f32 = 0.2;
 
 /// Factor on the limit in a step with too many late answers: half in about a
 /// second, as long as a turn takes.
@@ -83,10 +89,8 @@
     pub retry: Duration,
     /// Limit in force for its rank.
     pub limit: f64,
-    /// Share of recent answers that began late.
-    pub late: f64,
-    /// Share of recent answers that were produced slowly.
-    pub slow: f64,
+    /// How answers fared lately.
+    pub strain: Strain,
 }
 
 /// Recent offers of one rank.
@@ -99,10 +103,11 @@
 /// Lets new work of one service in, or not.
 #[derive(Clone, Debug)]
 pub struct Admission {
-    /// Share of recent answers that began late.
-    late: f64,
-    /// Share of recent answers that were produced slowly.
-    slow: f64,
+    /// How our answers fared lately.
+    own: Strain,
+    noted: Instant,
+    /// How those of many gateways did, and when that was heard.
+    shared: Option<(Strain, Instant)>,
     /// Time between events on free replicas, in ms, and when it was last
     /// updated.
     pace: Option<(f64, Instant)>,
@@ -117,8 +122,9 @@
     /// Lets everything in until answers come late.
     pub fn new(now: Instant) -> Self {
         Admission {
-            late: 0.0,
-            slow: 0.0,
+            own: Strain::default(),
+            noted: now,
+            shared: None,
             pace: None,
             limit: f64::INFINITY,
             stepped: now,
@@ -130,7 +136,9 @@
     /// Takes in whether an answer began late, with `under_way` requests of
     /// ours on the replicas.
     pub fn note(&mut self, is_late: bool, under_way: u32, now: Instant) {
-        self.late += WEIGHT * (f64::from(u8::from(is_late)) - self.late);
+        let own = self.own(now);
+        own.begun += 1.0;
+        own.late += f32::from(u8::from(is_late));
         self.step(under_way, now);
     }
 
@@ -146,22 +154,52 @@
         };
         self.pace = Some((free, now));
         let is_slow = pace_ms > PACE_STRETCH * free;
-        self.slow += WEIGHT * (f64::from(u8::from(is_slow)) - self.slow);
+        let own = self.own(now);
+        own.paced += 1.0;
+        own.slow += f32::from(u8::from(is_slow));
+        self.step(under_way, now);
+    }
+
+    /// How our answers fared lately.
+    pub fn own(&mut self, now: Instant) -> &mut Strain {
+        let age = now.saturating_duration_since(self.noted);
+        self.noted = now;
+        let halves = age.as_secs_f32() / ANSWERS_HALF_LIFE.as_secs_f32();
+        self.own.fade(0.5_f32.powf(halves));
+        &mut self.own
+    }
+
+    /// Takes in how the answers of many gateways fared. Where each sees few,
+    /// only together they see an overload soon enough.
+    pub fn note_shared(&mut self, shared: Strain, under_way: u32, now: Instant) {
+        self.shared = Some((shared, now));
         self.step(under_way, now);
     }
 
+    /// What is known best of how answers fared.
+    fn strain(&self, now: Instant) -> Strain {
+        let is_fresh = |at: &Instant| now.saturating_duration_since(*at) < SHARED_TIME;
+        match &self.shared {
+            Some((shared, at)) if is_fresh(at) && shared.begun > self.own.begun => *shared,
+            _ => self.own,
+        }
+    }
+
     /// Moves the limit, at most once in each [`STEP`].
     fn step(&mut self, under_way: u32, now: Instant) {
         if now.saturating_duration_since(self.stepped) < STEP {
             return;
         }
         self.stepped = now;
-        let worst = self.late.max(self.slow);
-        if worst > LATE_HIGH {
-            self.limit = self.limit.min(f64::from(under_way)) * DECREASE;
-        } else if worst < LATE_LOW {
-            // What is under way does well, so as much may be.
-            self.limit = self.limit.max(f64::from(under_way)) + INCREASE;
+        match self.strain(now).worst() {
+            Some(worst) if worst > LATE_HIGH => {
+                self.limit = self.limit.min(f64::from(under_way)) * DECREASE;
+            }
+            Some(worst) if worst < LATE_LOW => {
+                // What is under way does well, so as much may be.
+                self.limit = self.limit.max(f64::from(under_way)) + INCREASE;
+            }
+            _ => {}
         }
     }
 
@@ -179,7 +217,7 @@
             return Ok(());
         }
         let retry = work.objective.mul_f64(RETRY_SHARE * (1.0 + 2.0 * draw));
-        Err(Refusal { retry, limit, late: self.late, slow: self.slow })
+        Err(Refusal { retry, limit, strain: self.strain(now) })
     }
 
     /// Part of the limit that work of a rank may fill.
--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use gg_dispatch::{Admission, NewWork};
+use gg_ledger::Strains;
 use gg_protocol::{Code, Failure, Name};
 use gg_route::RouteKind;
 use rand::Rng;
@@ -24,6 +25,9 @@
 /// refused.
 const PLACES_SHARE: f64 = 0.5;
 
+/// Fewer recent answers than this are not worth telling.
+const STRAIN_TOLD_MIN: f32 = 0.1;
+
 /// Decides on a request that begins something: the first turn of a program,
 /// or a request outside any. Everything else belongs to work under way, which
 /// has been let in already.
@@ -50,15 +54,17 @@
     state.metrics.count("refused_new", &[("rank", &work.rank.to_string())]);
     log::info!(
         "event=refused_new request={} service={} rank={} under_way={} limit={:.1} floor={:.1} \
-         late={:.2} slow={:.2} retry_ms={retry_ms}",
+         late={:.0}/{:.0} slow={:.0}/{:.0} retry_ms={retry_ms}",
         job.id(),
         job.service.name,
         work.rank,
         work.under_way,
         refusal.limit,
         work.floor,
-        refusal.late,
-        refusal.slow,
+        refusal.strain.late,
+        refusal.strain.begun,
+        refusal.strain.slow,
+        refusal.strain.paced,
     );
     let message = "the replicas can't finish more in time now";
     Err(Failure::not_run(Code::Overloaded, message).retry_in(retry_ms))
@@ -95,6 +101,23 @@
     note(state, job, true);
 }
 
+/// How the answers of all services fared lately, for other gateways.
+pub(crate) fn strains<D>(state: &State<D>) -> Strains {
+    let now = Instant::now();
+    let mut admissions = lock(&state.admissions);
+    let strains = admissions.iter_mut().map(|(service, one)| (service.clone(), *one.own(now)));
+    strains.filter(|(_, strain)| strain.begun >= STRAIN_TOLD_MIN).collect()
+}
+
+/// Takes in how those of many gateways did.
+pub(crate) fn note_shared<D>(state: &State<D>, strains: Strains) {
+    for (name, strain) in strains {
+        let Some(service) = state.fleet.service(&name) else { continue };
+        let under_way = under_way(&service);
+        with(state, &name, |admission, now| admission.note_shared(strain, under_way, now));
+    }
+}
+
 fn note<D>(state: &State<D>, job: &Job, is_late: bool) {
     let Some(service) = state.fleet.service(&job.service.name) else { return };
     let under_way = under_way(&service);
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -19,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    admit,
     freshness::{FRESH_TIME, Freshness},
     state::{State, lock},
 };
@@ -74,8 +75,10 @@
     loop {
         let known: Vec<(Kind, u64)> =
             kinds.iter().map(|followed| (followed.kind, *lock(&followed.revision))).collect();
-        for answer in state.ledger.news(&known).await {
-            for news in answer {
+        let strains = admit::strains(state);
+        for heard in state.ledger.news(&known, &strains).await {
+            admit::note_shared(state, heard.strains);
+            for news in heard.news {
                 if let Some(followed) = kinds.iter().find(|followed| followed.kind == news.kind) {
                     followed.take_mirrored(news);
                 }
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -19,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Chain, Layout, LedgerError, TurnRecord,
+    Chain, Layout, LedgerError, Strains, TurnRecord,
     index::Spent,
     link::{Link, Scope},
     links::Links,
@@ -92,6 +92,17 @@
     pub is_foreign: bool,
 }
 
+/// What one instance told.
+#[derive(Clone, Debug)]
+pub struct Heard {
+    /// What is new in the directory.
+    pub news: Vec<MirrorNews>,
+    /// Clients that asked it lately.
+    pub clients: u32,
+    /// How the answers fare that these pass on.
+    pub strains: Strains,
+}
+
 /// Client of the ledger.
 #[derive(Debug)]
 pub struct Ledger {
@@ -152,22 +163,29 @@
     }
 
     /// Asks two instances, the nearest and one in another data centre, what
-    /// is new in the directory since these revisions.
-    pub async fn news(&self, known: &[(Kind, u64)]) -> Vec<Vec<MirrorNews>> {
+    /// is new in the directory since these revisions; tells them how the
+    /// answers fare that are passed on here.
+    pub async fn news(&self, known: &[(Kind, u64)], strains: &Strains) -> Vec<Heard> {
         let scope = Scope { partition: 0, epoch: 0 };
         let calls = self.news_sources().into_iter().map(async |link| {
-            let ask = Ask::News { from: self.client.clone(), known: known.to_vec() };
+            let ask = Ask::News {
+                from: self.client.clone(),
+                known: known.to_vec(),
+                strains: strains.clone(),
+            };
             match time::timeout(NEWS_TIMEOUT, link.call(scope, ask)).await {
-                Ok(Ok(Answer::News { news, askers })) => Some((news, askers)),
+                Ok(Ok(Answer::News { news, askers, strains })) => {
+                    Some(Heard { news, clients: askers, strains })
+                }
                 _ => None,
             }
         });
-        let answers: Vec<_> = join_all(calls).await.into_iter().flatten().collect();
+        let heard: Vec<Heard> = join_all(calls).await.into_iter().flatten().collect();
         // An instance that has just started knows of few.
-        if let Some(clients) = answers.iter().map(|(_, askers)| *askers).max() {
+        if let Some(clients) = heard.iter().map(|heard| heard.clients).max() {
             self.clients.store(clients, Ordering::Relaxed);
         }
-        answers.into_iter().map(|(news, _)| news).collect()
+        heard
     }
 
     fn news_sources(&self) -> Vec<Arc<Link>> {
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -25,8 +25,8 @@
 mod set;
 mod view;
 
-pub use askers::Askers;
-pub use client::{Ledger, OpenRequest, Opened, TurnKey};
+pub use askers::{Askers, Strains};
+pub use client::{Heard, Ledger, OpenRequest, Opened, TurnKey};
 pub use entry::{Line, Placed, TurnRecord};
 pub use error::LedgerError;
 pub use index::{Chain, Index};
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -20,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Askers, Layout, LedgerSet, Line, LogFile, LogSettings, Placed,
+    Askers, Layout, LedgerSet, Line, LogFile, LogSettings, Placed, Strains,
     book::Book,
     log_file::encode_line,
     pull::{self, PullError},
@@ -160,9 +160,12 @@
         lock(&self.shared.mirror)
     }
 
-    /// Takes in that a client asks for news; returns how many ask.
-    pub(crate) fn note_asker(&self, name: Name) -> u32 {
-        lock(&self.shared.askers).note(name, Instant::now())
+    /// Takes in that a client asks for news and how its answers fare; returns
+    /// how many clients ask and how all their answers fare.
+    pub(crate) fn note_asker(&self, name: Name, strains: Strains) -> (u32, Strains) {
+        let now = Instant::now();
+        let mut askers = lock(&self.shared.askers);
+        (askers.note(name, strains, now), askers.strains(now))
     }
 
     /// Takes in a layout; one that is newer in no partition changes nothing.
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -16,7 +16,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::{
-    Layout, Line, TurnRecord,
+    Layout, Line, Strains, TurnRecord,
     index::{Chain, Spent},
 };
 
@@ -78,6 +78,8 @@
         from: Name,
         /// Revisions that it knows.
         known: Vec<(Kind, u64)>,
+        /// How the answers that it passes on fare.
+        strains: Strains,
     },
     /// Tell how far the partition is copied.
     Status,
@@ -118,6 +120,8 @@
         news: Vec<MirrorNews>,
         /// Clients that asked lately.
         askers: u32,
+        /// How the answers that these pass on fare.
+        strains: Strains,
     },
     /// Reply to [`Ask::Status`].
     Status {
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -107,10 +107,10 @@
             send(replies, id, Answer::Fetched(chain)).await;
         }
         Ask::Ping => send(replies, id, Answer::Here).await,
-        Ask::News { from, known } => {
+        Ask::News { from, known, strains } => {
             let news = node.mirror().news(&known);
-            let askers = node.note_asker(from);
-            send(replies, id, Answer::News { news, askers }).await;
+            let (askers, strains) = node.note_asker(from, strains);
+            send(replies, id, Answer::News { news, askers, strains }).await;
         }
         Ask::Status => {
             let copied = node.book().copied(partition);
--- a/crates/gg-protocol/src/lib.rs
+++ b/crates/gg-protocol/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ids;
 pub mod peer;
 pub mod step;
+pub mod strain;
 pub mod view;
 
 pub use chat::{ChatCall, Message, Usage};
@@ -15,4 +16,5 @@
 pub use failure::{Code, Failure, Ran};
 pub use ids::{JournalId, Name, ProgramId};
 pub use step::{Answer, Call, ServiceCall, StartReply, StartRequest, StepEvent, StepRequest};
+pub use strain::Strain;
 pub use view::{ProgramView, TurnView};
