Admission closes when all places are taken, before answers are late

Cause: at 79 gateways a flood of four times let in twice what replicas finish in the two seconds until answers came late. Change: gateways tell each other what they have under way as well; when all places of the replicas are taken, the limit falls as it does with late answers.

--- a/crates/gg-dispatch/src/admission.rs
+++ b/crates/gg-dispatch/src/admission.rs
@@ -42,6 +42,14 @@
 /// With less than this share late there is room for more.
 const LATE_LOW: f32 = 0.2;
 
+/// While less than this share of our part of the places is taken, nothing is
+/// refused.
+const FREE_SHARE: f64 = 0.5;
+
+/// With more than this share of all places taken, work begins to wait at the
+/// replicas, which shows in answers only later.
+const FULL_SHARE: f64 = 1.0;
+
 /// Factor on the limit in a step with too many late answers: half in about a
 /// second, as long as a turn takes.
 const DECREASE: f64 = 0.95;
@@ -75,11 +83,15 @@
     pub rank: u8,
     /// Time within which it should be answered.
     pub objective: Duration,
-    /// Requests of ours on the replicas of the service.
+}
+
+/// How much a gateway has on the replicas of a service.
+#[derive(Clone, Copy, Debug)]
+pub struct Fill {
+    /// Requests of ours.
     pub under_way: u32,
-    /// Requests below which nothing is refused: our part of the places that
-    /// replicas have.
-    pub floor: f64,
+    /// Our part of the replicas' places.
+    pub places: f64,
 }
 
 /// Work that is turned away.
@@ -133,17 +145,17 @@
         }
     }
 
-    /// Takes in whether an answer began late, with `under_way` requests of
-    /// ours on the replicas.
-    pub fn note(&mut self, is_late: bool, under_way: u32, now: Instant) {
+    /// Takes in whether an answer began late, and what we
+    /// have on the replicas.
+    pub fn note(&mut self, is_late: bool, fill: Fill, now: Instant) {
         let own = self.own(now);
         own.begun += 1.0;
         own.late += f32::from(u8::from(is_late));
-        self.step(under_way, now);
+        self.step(fill, now);
     }
 
     /// Takes in the mean time between the events of a stream, in ms.
-    pub fn note_pace(&mut self, pace_ms: f64, under_way: u32, now: Instant) {
+    pub fn note_pace(&mut self, pace_ms: f64, fill: Fill, now: Instant) {
         let free = match self.pace {
             None => pace_ms,
             Some((free, at)) => {
@@ -157,7 +169,7 @@
         let own = self.own(now);
         own.paced += 1.0;
         own.slow += f32::from(u8::from(is_slow));
-        self.step(under_way, now);
+        self.step(fill, now);
     }
 
     /// How our answers fared lately.
@@ -171,9 +183,9 @@
 
     /// Takes in how the answers of many gateways fared. Where each sees few,
     /// only together they see an overload soon enough.
-    pub fn note_shared(&mut self, shared: Strain, under_way: u32, now: Instant) {
+    pub fn note_shared(&mut self, shared: Strain, fill: Fill, now: Instant) {
         self.shared = Some((shared, now));
-        self.step(under_way, now);
+        self.step(fill, now);
     }
 
     /// What is known best of how answers fared.
@@ -186,30 +198,36 @@
     }
 
     /// Moves the limit, at most once in each [`STEP`].
-    fn step(&mut self, under_way: u32, now: Instant) {
+    fn step(&mut self, fill: Fill, now: Instant) {
         if now.saturating_duration_since(self.stepped) < STEP {
             return;
         }
         self.stepped = now;
-        match self.strain(now).worst() {
-            Some(worst) if worst > LATE_HIGH => {
-                self.limit = self.limit.min(f64::from(under_way)) * DECREASE;
-            }
-            Some(worst) if worst < LATE_LOW => {
-                // What is under way does well, so as much may be.
-                self.limit = self.limit.max(f64::from(under_way)) + INCREASE;
-            }
-            _ => {}
+        let strain = self.strain(now);
+        let mean = strain.mean_under_way().map_or(0.0, f64::from);
+        let worst = strain.worst();
+        let under_way = f64::from(fill.under_way);
+        if mean > FULL_SHARE * fill.places || worst.is_some_and(|worst| worst > LATE_HIGH) {
+            self.limit = self.limit.min(under_way) * DECREASE;
+        } else if worst.is_some_and(|worst| worst < LATE_LOW) {
+            // What is under way does well, so as much may be.
+            self.limit = self.limit.max(under_way) + INCREASE;
         }
     }
 
     /// Decides on new work. `draw` is random between 0 and 1: it rounds the
     /// limit, which is small where many gateways share the replicas, and
     /// spreads the return of what is refused.
-    pub fn admit(&mut self, work: NewWork, now: Instant, draw: f64) -> Result<(), Refusal> {
+    pub fn admit(
+        &mut self,
+        work: NewWork,
+        fill: Fill,
+        now: Instant,
+        draw: f64,
+    ) -> Result<(), Refusal> {
         self.fade(now);
-        let limit = self.limit.max(work.floor) * self.share(work.rank);
-        let is_admitted = f64::from(work.under_way) + draw < limit;
+        let limit = self.limit.max(FREE_SHARE * fill.places) * self.share(work.rank);
+        let is_admitted = f64::from(fill.under_way) + draw < limit;
         let demand = self.demands.entry(work.rank).or_default();
         demand.offered += 1.0;
         if is_admitted {
--- a/crates/gg-dispatch/tests/admission.rs
+++ b/crates/gg-dispatch/tests/admission.rs
@@ -2,24 +2,32 @@
 
 use std::time::{Duration, Instant};
 
-use gg_dispatch::{Admission, NewWork};
+use gg_dispatch::{Admission, Fill, NewWork};
+use gg_protocol::Strain;
 
 const TICK: Duration = Duration::from_millis(10);
 
-fn work(rank: u8, under_way: u32) -> NewWork {
-    NewWork { rank, objective: Duration::from_millis(200), under_way, floor: 2.0 }
+/// Our part of the replicas' places.
+const PLACES: f64 = 4.0;
+
+fn work(rank: u8) -> NewWork {
+    NewWork { rank, objective: Duration::from_millis(200) }
+}
+
+fn fill(under_way: u32) -> Fill {
+    Fill { under_way, places: PLACES }
 }
 
 /// Notes answers for a while, so many of ten late.
 fn note(admission: &mut Admission, late_of_ten: u32, under_way: u32, now: &mut Instant) {
     for answer in 0..200 {
         *now += TICK;
-        admission.note(answer % 10 < late_of_ten, under_way, *now);
+        admission.note(answer % 10 < late_of_ten, fill(under_way), *now);
     }
 }
 
 fn is_admitted(admission: &mut Admission, rank: u8, under_way: u32, now: Instant) -> bool {
-    admission.admit(work(rank, under_way), now, 0.5).is_ok()
+    admission.admit(work(rank), fill(under_way), now, 0.5).is_ok()
 }
 
 #[test]
@@ -58,7 +66,7 @@
     let pace = |admission: &mut Admission, pace_ms: f64, now: &mut Instant| {
         for _ in 0..200 {
             *now += TICK;
-            admission.note_pace(pace_ms, 20, *now);
+            admission.note_pace(pace_ms, fill(20), *now);
         }
     };
     pace(&mut admission, 25.0, &mut now);
@@ -72,10 +80,10 @@
 fn urgent_goes_first() {
     let mut now = Instant::now();
     let mut admission = Admission::new(now);
-    note(&mut admission, 10, 20, &mut now);
-    note(&mut admission, 3, 20, &mut now);
+    note(&mut admission, 10, 200, &mut now);
+    note(&mut admission, 3, 200, &mut now);
     // The limit stays as it is: some late, some not.
-    let limit = admission.admit(work(0, 1_000), now, 0.5).expect_err("full").limit;
+    let limit = admission.admit(work(0), fill(1_000), now, 0.5).expect_err("full").limit;
     let nearly = (limit * 0.9) as u32;
     // Both ranks get in as often as each other before the place gets scarce.
     for _ in 0..20 {
@@ -94,7 +102,7 @@
     let mut admission = Admission::new(now);
     note(&mut admission, 10, 20, &mut now);
     note(&mut admission, 3, 20, &mut now);
-    let limit = admission.admit(work(0, 1_000), now, 0.5).expect_err("full").limit;
+    let limit = admission.admit(work(0), fill(1_000), now, 0.5).expect_err("full").limit;
     let mut admitted = [0_u32; 2];
     let mut offered = [0_u32; 2];
     for step in 0..4_000_u32 {
@@ -118,7 +126,29 @@
     let mut admission = Admission::new(now);
     note(&mut admission, 10, 20, &mut now);
     let retries = [0.0, 0.5, 0.99].map(|draw| {
-        admission.admit(work(0, 1_000), now, draw).expect_err("full").retry.as_millis()
+        admission.admit(work(0), fill(1_000), now, draw).expect_err("full").retry.as_millis()
     });
     assert_eq!(retries, [50, 100, 149]);
 }
+
+/// Where each gateway sees few answers, they see an overload together.
+#[test]
+fn others_tell() {
+    let mut now = Instant::now();
+    let mut admission = Admission::new(now);
+    let tell = |admission: &mut Admission, strain: Strain, now: &mut Instant| {
+        for _ in 0..30 {
+            *now += TICK * 10;
+            admission.note(false, fill(3), *now);
+            admission.note_shared(strain, fill(3), *now);
+        }
+    };
+    let calm = Strain { begun: 100.0, under_way: 200.0, tellers: 100.0, ..Strain::default() };
+    tell(&mut admission, calm, &mut now);
+    assert!(is_admitted(&mut admission, 0, 3, now));
+    let mut late = admission.clone();
+    tell(&mut late, Strain { late: 60.0, ..calm }, &mut now);
+    assert!(!is_admitted(&mut late, 0, 3, now), "answers are late elsewhere");
+    tell(&mut admission, Strain { under_way: 500.0, ..calm }, &mut now);
+    assert!(!is_admitted(&mut admission, 0, 3, now), "all places are taken");
+}
--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use gg_dispatch::{Admission, NewWork};
+use gg_dispatch::{Admission, Fill, NewWork};
 use gg_ledger::Strains;
-use gg_protocol::{Code, Failure, Name};
+use gg_protocol::{Code, Failure, Name, Strain};
 use gg_route::RouteKind;
 use rand::Rng;
 
@@ -21,13 +21,6 @@
 /// The same for a call's whole answer, most of which is its work.
 const CALL_LATE_SHARE: f64 = 0.6;
 
-/// While less than this share of the replicas' places are taken, nothing is
-/// refused.
-const PLACES_SHARE: f64 = 0.5;
-
-/// Fewer recent answers than this are not worth telling.
-const STRAIN_TOLD_MIN: f32 = 0.1;
-
 /// Decides on a request that begins something: the first turn of a program,
 /// or a request outside any. Everything else belongs to work under way, which
 /// has been let in already.
@@ -40,27 +33,23 @@
     let Some(service) = state.fleet.service(&job.service.name).filter(|_| is_new) else {
         return Ok(());
     };
-    let places: u32 = service.replicas.iter().map(|replica| replica.upstream.slots).sum();
-    let work = NewWork {
-        rank: job.route.rank,
-        objective: job.route.target,
-        under_way: under_way(&service),
-        floor: f64::from(places) * PLACES_SHARE / f64::from(state.gateways()),
-    };
+    let work = NewWork { rank: job.route.rank, objective: job.route.target };
+    let fill = fill(state, &service);
     let draw = rand::rng().random_range(0.0..1.0);
-    let decided = with(state, &job.service.name, |admission, now| admission.admit(work, now, draw));
+    let decided =
+        with(state, &job.service.name, |admission, now| admission.admit(work, fill, now, draw));
     let Err(refusal) = decided else { return Ok(()) };
     let retry_ms = refusal.retry.as_millis() as u64;
     state.metrics.count("refused_new", &[("rank", &work.rank.to_string())]);
     log::info!(
-        "event=refused_new request={} service={} rank={} under_way={} limit={:.1} floor={:.1} \
+        "event=refused_new request={} service={} rank={} under_way={} places={:.1} limit={:.1} \
          late={:.0}/{:.0} slow={:.0}/{:.0} retry_ms={retry_ms}",
         job.id(),
         job.service.name,
         work.rank,
-        work.under_way,
+        fill.under_way,
+        fill.places,
         refusal.limit,
-        work.floor,
         refusal.strain.late,
         refusal.strain.begun,
         refusal.strain.slow,
@@ -90,9 +79,9 @@
         return;
     }
     let pace_ms = time.as_secs_f64() * 1e3 / f64::from(events - 1);
-    let under_way = under_way(&service);
+    let fill = fill(state, &service);
     with(state, &job.service.name, |admission, now| {
-        admission.note_pace(pace_ms, under_way, now);
+        admission.note_pace(pace_ms, fill, now);
     });
 }
 
@@ -105,23 +94,35 @@
 pub(crate) fn strains<D>(state: &State<D>) -> Strains {
     let now = Instant::now();
     let mut admissions = lock(&state.admissions);
-    let strains = admissions.iter_mut().map(|(service, one)| (service.clone(), *one.own(now)));
-    strains.filter(|(_, strain)| strain.begun >= STRAIN_TOLD_MIN).collect()
+    let told = admissions.iter_mut().map(|(name, admission)| {
+        let service = state.fleet.service(name).unwrap_or_default();
+        let under_way = under_way(&service) as f32;
+        let strain = Strain { under_way, tellers: 1.0, ..*admission.own(now) };
+        (name.clone(), strain)
+    });
+    told.collect()
 }
 
 /// Takes in how those of many gateways did.
 pub(crate) fn note_shared<D>(state: &State<D>, strains: Strains) {
     for (name, strain) in strains {
         let Some(service) = state.fleet.service(&name) else { continue };
-        let under_way = under_way(&service);
-        with(state, &name, |admission, now| admission.note_shared(strain, under_way, now));
+        let fill = fill(state, &service);
+        with(state, &name, |admission, now| admission.note_shared(strain, fill, now));
     }
 }
 
 fn note<D>(state: &State<D>, job: &Job, is_late: bool) {
     let Some(service) = state.fleet.service(&job.service.name) else { return };
-    let under_way = under_way(&service);
-    with(state, &job.service.name, |admission, now| admission.note(is_late, under_way, now));
+    let fill = fill(state, &service);
+    with(state, &job.service.name, |admission, now| admission.note(is_late, fill, now));
+}
+
+/// What this gateway has on the replicas of a service.
+fn fill<D>(state: &State<D>, service: &Service) -> Fill {
+    let slots: u32 = service.replicas.iter().map(|replica| replica.upstream.slots).sum();
+    let places = f64::from(slots) / f64::from(state.gateways());
+    Fill { under_way: under_way(service), places }
 }
 
 /// Requests of ours on the replicas of a service.
--- a/crates/gg-protocol/src/strain.rs
+++ b/crates/gg-protocol/src/strain.rs
@@ -13,13 +13,17 @@
     pub paced: f32,
     /// Of these, those that were produced slowly.
     pub slow: f32,
+    /// Requests on the replicas now.
+    pub under_way: f32,
+    /// Instances that counted all this.
+    pub tellers: f32,
 }
 
 /// Fewest answers that tell a share.
 const ANSWERS_MIN: f32 = 4.0;
 
 impl Strain {
-    /// Makes what was counted before weigh less.
+    /// Makes the answers that were counted before weigh less.
     pub fn fade(&mut self, rest: f32) {
         self.begun *= rest;
         self.late *= rest;
@@ -33,6 +37,13 @@
         self.late += other.late;
         self.paced += other.paced;
         self.slow += other.slow;
+        self.under_way += other.under_way;
+        self.tellers += other.tellers;
+    }
+
+    /// Requests on the replicas of each instance, on average.
+    pub fn mean_under_way(&self) -> Option<f32> {
+        (self.tellers > 0.0).then(|| self.under_way / self.tellers)
     }
 
     /// Share of answers that began late or were produced slowly, whichever is
