Reading a prompt that a replica does not know is no sign of a queue

Change: the time that the choice of a replica expects for reading is allowed on top; two fifths of answers late or slow lower the limit, a quarter raises it.

--- a/crates/gg-dispatch/src/admission.rs
+++ b/crates/gg-dispatch/src/admission.rs
@@ -37,10 +37,10 @@
 
 /// With more than this share of answers late or slow, replicas have queues:
 /// one slow replica among several doesn't show as a majority.
-const LATE_HIGH: f32 = 0.35;
+const LATE_HIGH: f32 = 0.4;
 
 /// With less than this share late there is room for more.
-const LATE_LOW: f32 = 0.2;
+const LATE_LOW: f32 = 0.25;
 
 /// While less than this share of our part of the places is taken, nothing is
 /// refused.
--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -60,13 +60,14 @@
 }
 
 /// Takes in how long a replica took until a stream's first event, or for a
-/// whole call.
-pub(crate) fn note_delay<D>(state: &State<D>, job: &Job, delay: Duration) {
+/// whole call. The time of `reading` a prompt that it did not know is no sign
+/// of a queue.
+pub(crate) fn note_delay<D>(state: &State<D>, job: &Job, delay: Duration, reading: Duration) {
     let share = match job.route.kind {
         RouteKind::Stream => STREAM_LATE_SHARE,
         _ => CALL_LATE_SHARE,
     };
-    note(state, job, delay > job.route.target.mul_f64(share));
+    note(state, job, delay > job.route.target.mul_f64(share) + reading);
 }
 
 /// Fewest events of a stream that tell its pace.
--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -1,6 +1,6 @@
 //! A request whose answer is read whole before it is passed on.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -79,13 +79,13 @@
 fn hedge<D: Deployment>(state: &State<D>, job: &Job, tried: &[UpstreamId]) -> Option<Place> {
     let service = state.fleet.service(&job.service.name)?;
     let open = untried(&service, tried);
-    let replica = best(state, job, &open, &Opened::default())?;
+    let place = best(state, job, &open, &Opened::default())?;
     if !lock(&state.hedges).spend() {
         return None;
     }
     state.metrics.count("hedges", &[]);
-    log::info!("event=hedged request={} replica={}", job.id(), replica.upstream.id.name);
-    Some(replica.occupy())
+    log::info!("event=hedged request={} replica={}", job.id(), place.replica.upstream.id.name);
+    Some(place)
 }
 
 /// One send, its answer read whole.
@@ -100,7 +100,7 @@
     let status = sent.response.status();
     let (mut headers, body, lease) = read_whole(job, sent).await?;
     replica.note_delay(began.elapsed().as_secs_f64() * 1e3);
-    note_delay(state, job, began.elapsed());
+    note_delay(state, job, began.elapsed(), Duration::ZERO);
     lease.keep(&headers);
     strip_hop_headers(&mut headers);
     let mut response = Response::new(Full::new(body));
--- a/crates/gg-gateway/src/choice.rs
+++ b/crates/gg-gateway/src/choice.rs
@@ -65,12 +65,16 @@
         if self.is_far {
             cost += settings.far_ms;
         }
-        if !self.is_previous {
-            cost += settings.moved_ms * history as f64 / 1e3;
-            if !self.is_warm {
-                cost += settings.cold_ms;
-            }
+        cost + self.reading_ms(history, settings)
+    }
+
+    /// Time that it is expected to take to read what it has not read yet of
+    /// a prompt with `history` bytes, in ms.
+    pub fn reading_ms(&self, history: usize, settings: &ChoiceSettings) -> f64 {
+        if self.is_previous {
+            return 0.0;
         }
-        cost
+        let moved = settings.moved_ms * history as f64 / 1e3;
+        if self.is_warm { moved } else { moved + settings.cold_ms }
     }
 }
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -1,7 +1,7 @@
 //! Takes a place on a replica for a job: what is known of each replica goes
 //! into the choice, and jobs wait here while all are full.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use gg_ledger::Opened;
 use gg_protocol::{Code, Failure};
@@ -56,8 +56,8 @@
         if open.is_empty() {
             return Err(give_up("no replica is left to try"));
         }
-        if let Some(replica) = best(state, job, &open, opened) {
-            return Ok(replica.occupy());
+        if let Some(place) = best(state, job, &open, opened) {
+            return Ok(place);
         }
         if time::timeout_at(limit, notified).await.is_err() {
             return Err(give_up("all replicas are full"));
@@ -71,13 +71,13 @@
     replicas.filter(|replica| replica.is_open() && !tried.contains(&replica.upstream.id)).collect()
 }
 
-/// The best of some replicas for a job; `None` if all are full.
-pub(crate) fn best<'a, D>(
+/// A place on the best of some replicas for a job; `None` if all are full.
+pub(crate) fn best<D>(
     state: &State<D>,
     job: &Job,
-    open: &[&'a Arc<Replica>],
+    open: &[&Arc<Replica>],
     opened: &Opened,
-) -> Option<&'a Arc<Replica>> {
+) -> Option<Place> {
     let is_model = job.service.event_tokens > 0;
     let load_max = (job.service.connections / state.gateways()).max(LOAD_MIN);
     let fastest = open.iter().map(|replica| replica.delay_ms()).fold(f64::INFINITY, f64::min);
@@ -116,5 +116,6 @@
         chosen.is_suspect,
         chosen.delay_ms
     );
-    Some(replica)
+    let reading_ms = chosen.reading_ms(opened.history.len(), &settings);
+    Some(replica.occupy(Duration::from_secs_f64(reading_ms / 1e3)))
 }
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -146,7 +146,8 @@
             if let Some(lease) = &self.lease {
                 let replica = lease.replica();
                 replica.note_delay(self.began.elapsed().as_secs_f64() * 1e3);
-                note_delay(&self.settle.state, &self.settle.job, self.began.elapsed());
+                let (settle, reading) = (&self.settle, lease.place.reading);
+                note_delay(&settle.state, &settle.job, self.began.elapsed(), reading);
                 if let Some(prefix) = &self.settle.job.envelope.shared_prefix {
                     replica.set_warm(prefix);
                 }
--- a/crates/gg-gateway/src/replica.rs
+++ b/crates/gg-gateway/src/replica.rs
@@ -108,10 +108,11 @@
         mean * 0.5_f64.powf(at.elapsed().as_secs_f64() / DELAY_HALF_LIFE.as_secs_f64())
     }
 
-    /// Takes a place on the replica until the result is dropped.
-    pub(crate) fn occupy(self: &Arc<Self>) -> Place {
+    /// Takes a place on the replica until the result is dropped, for a
+    /// request that it is expected to take `reading` to read.
+    pub(crate) fn occupy(self: &Arc<Self>, reading: Duration) -> Place {
         self.load.fetch_add(1, Ordering::Relaxed);
-        Place { replica: self.clone() }
+        Place { replica: self.clone(), reading }
     }
 }
 
@@ -119,6 +120,8 @@
 #[derive(Debug)]
 pub(crate) struct Place {
     pub(crate) replica: Arc<Replica>,
+    /// Expected time to read what the replica has not read yet.
+    pub(crate) reading: Duration,
 }
 
 impl Drop for Place {
