Requests that crash replicas are contained, over gateways and restarts

Ruled out: counts in the platform's store (a call for each request of each crashed replica); counts by gateway alone (such a request comes again at any). Change: when a replica breaks off and then refuses connections, its start and the digest of the request go to all ledger instances, which log them and name digests with three crashed starts in the news that gateways ask for. Such requests get 503, as they have not run; requests without a body are left out, being all alike on a path.

--- a/crates/gg-gateway/src/answer.rs
+++ b/crates/gg-gateway/src/answer.rs
@@ -1,7 +1,7 @@
 //! Answers of the gateway's own, and what of a replica's head goes on.
 
 use bytes::Bytes;
-use gg_protocol::Failure;
+use gg_protocol::{Code, Failure};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 
@@ -17,11 +17,19 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+/// Status of a request that is not sent on since others like it crashed
+/// replicas. One that says that the request is wrong would end a program for
+/// good, also if it only ran beside the one that crashes.
+const QUARANTINED: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+
 /// The answer that carries a failure.
 pub(crate) fn failure(failure: &Failure) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(failure.to_json().to_string().into()));
-    *response.status_mut() =
-        StatusCode::from_u16(failure.code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let status = StatusCode::from_u16(failure.code.status());
+    *response.status_mut() = match failure.code {
+        Code::Quarantined => QUARANTINED,
+        _ => status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
+    };
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let retry = failure.retry_ms.map(|ms| format!("{:.3}", ms as f64 / 1000.0));
--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -35,7 +35,7 @@
 /// goes to a second replica when the first one stays silent; the first good
 /// answer counts.
 pub(crate) async fn run<D: Deployment>(
-    state: &State<D>,
+    state: &Arc<State<D>>,
     job: &Arc<Job>,
 ) -> Result<Response<Full<Bytes>>, Failure> {
     admit(state, job)?;
@@ -90,7 +90,7 @@
 
 /// One send, its answer read whole.
 async fn attempt<D: Deployment>(
-    state: &State<D>,
+    state: &Arc<State<D>>,
     job: &Job,
     place: Place,
 ) -> Result<Response<Full<Bytes>>, Outcome> {
@@ -98,7 +98,7 @@
     let began = Instant::now();
     let sent = send(state, job, &job.body, place).await?;
     let status = sent.response.status();
-    let (mut headers, body, lease) = read_whole(job, sent).await?;
+    let (mut headers, body, lease) = read_whole(state, job, sent).await?;
     replica.note_delay(began.elapsed().as_secs_f64() * 1e3);
     note_delay(state, job, began.elapsed(), Duration::ZERO);
     lease.keep(&headers);
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -78,6 +78,7 @@
         let strains = admit::strains(state);
         for heard in state.ledger.news(&known, &strains).await {
             admit::note_shared(state, heard.strains);
+            lock(&state.quarantine).extend(heard.quarantined);
             for news in heard.news {
                 if let Some(followed) = kinds.iter().find(|followed| followed.kind == news.kind) {
                     followed.take_mirrored(news);
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod call;
 mod choice;
+mod crash;
 mod discovery;
 mod fleet;
 mod freshness;
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     admit::{note_delay, note_pace},
+    crash,
     send::Lease,
     state::State,
     walk::Job,
@@ -201,6 +202,7 @@
             Some(err) => {
                 if let (Some(lease), RelayError::Replica(_)) = (&self.lease, err) {
                     lease.replica().suspect(FAILED_TIME);
+                    crash::suspect(&self.settle.state, job, lease.replica());
                 }
                 log::warn!(
                     "event=stream_cut request={id} replica={} events={events} ms={ms} reason={err}",
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -12,6 +12,7 @@
 use crate::{
     admit::note_full,
     answer::strip_hop_headers,
+    crash,
     pool::Connection,
     replica::{Place, Replica},
     retry::Outcome,
@@ -59,7 +60,7 @@
 /// Sends a job with `body` to the replica of `place` and waits for the head
 /// of its answer.
 pub(crate) async fn send<D: Deployment>(
-    state: &State<D>,
+    state: &Arc<State<D>>,
     job: &Job,
     body: &Bytes,
     place: Place,
@@ -76,7 +77,7 @@
 }
 
 async fn try_send<D: Deployment>(
-    state: &State<D>,
+    state: &Arc<State<D>>,
     job: &Job,
     body: &Bytes,
     place: Place,
@@ -88,6 +89,9 @@
         Ok(Ok(answered)) => answered,
         Ok(Err(outcome)) => {
             replica.suspect(FAILED_TIME);
+            if outcome == Outcome::Unknown {
+                crash::suspect(state, job, &replica);
+            }
             return Err(outcome);
         }
         Err(_) => {
@@ -123,7 +127,7 @@
 }
 
 /// A replica that says that it did not run the request.
-async fn refused<D>(state: &State<D>, job: &Job, sent: Sent) -> Outcome {
+async fn refused<D: Deployment>(state: &Arc<State<D>>, job: &Job, sent: Sent) -> Outcome {
     let replica = sent.lease.replica().clone();
     let status = sent.response.status();
     log::info!(
@@ -141,7 +145,7 @@
     }
     // The refusal stands whatever its body holds; the connection is kept
     // only if that ends as it should.
-    if let Ok((headers, _, lease)) = read_whole(job, sent).await {
+    if let Ok((headers, _, lease)) = read_whole(state, job, sent).await {
         lease.keep(&headers);
     }
     Outcome::Unexecuted
@@ -158,7 +162,8 @@
 }
 
 /// Reads the rest of an answer.
-pub(crate) async fn read_whole(
+pub(crate) async fn read_whole<D: Deployment>(
+    state: &Arc<State<D>>,
     job: &Job,
     sent: Sent,
 ) -> Result<(HeaderMap, Bytes, Lease), Outcome> {
@@ -172,6 +177,7 @@
                 sent.lease.replica().upstream.id.name
             );
             sent.lease.replica().suspect(FAILED_TIME);
+            crash::suspect(state, job, sent.lease.replica());
             Err(Outcome::Unknown)
         }
         Err(_) => Err(Outcome::Unknown),
--- a/crates/gg-gateway/src/walk.rs
+++ b/crates/gg-gateway/src/walk.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::{self, Instant};
 
-use crate::{answer, call, relay::RelayError, retry::Tries, state::State, stream};
+use crate::{answer, call, crash, relay::RelayError, retry::Tries, state::State, stream};
 
 /// A failure that is told when nothing is known yet is worth this wait.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
@@ -67,9 +67,12 @@
         }
         Ok(job) => {
             let job = Arc::new(job);
-            let answered = match job.route.kind {
-                RouteKind::Stream => stream::run(&state, &job).await,
-                _ => call::run(&state, &job).await.map(|response| response.map(Either::Left)),
+            let answered = match (crash::check(&state, &job), job.route.kind) {
+                (Err(failure), _) => Err(failure),
+                (Ok(()), RouteKind::Stream) => stream::run(&state, &job).await,
+                (Ok(()), _) => {
+                    call::run(&state, &job).await.map(|response| response.map(Either::Left))
+                }
             };
             finish(&state, &job, answered)
         }
@@ -144,7 +147,7 @@
 /// The service that takes the request; one line of turns stays with one.
 fn backend(table: &RouteTable, route: &Route, envelope: &Envelope) -> Result<Service, Failure> {
     let key = envelope.session.as_ref().unwrap_or(&envelope.request);
-    let name = route.backend(hash(key));
+    let name = route.backend(hash(key.as_bytes()));
     let service = name.and_then(|name| table.service(name));
     service
         .cloned()
@@ -152,9 +155,9 @@
 }
 
 /// FNV-1a, so that all gateways draw alike for one key.
-fn hash(key: &str) -> u64 {
+pub(crate) fn hash(key: &[u8]) -> u64 {
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    let hash = key.bytes().fold(0xcbf2_9ce4_8422_2325, step);
+    let hash = key.iter().copied().fold(0xcbf2_9ce4_8422_2325, step);
     hash ^ (hash >> 32)
 }
 
--- a/crates/gg-ledger/src/book.rs
+++ b/crates/gg-ledger/src/book.rs
@@ -7,13 +7,18 @@
 
 use gg_protocol::Name;
 
-use crate::{Index, Layout, Line, Placed, index::Chain};
+use crate::{Crashes, Index, Layout, Line, Placed, index::Chain};
+
+/// Partition under which crashes stand in the log; they belong to none.
+pub(crate) const CRASHES_PLACE: u16 = 0;
 
 /// Partitions of one instance and the layout that it knows.
 #[derive(Debug, Default)]
 pub(crate) struct Book {
     parts: HashMap<u16, Part>,
     layout: Layout,
+    /// Known to all instances, whatever partitions they hold.
+    crashes: Crashes,
 }
 
 #[derive(Debug, Default)]
@@ -36,6 +41,7 @@
                 let part = self.part(partition);
                 part.epoch = part.epoch.max(epoch);
             }
+            Line::Crash { content, upstream } => self.crashes.note(content, upstream, now),
             line => self.part(partition).index.apply(line, now),
         }
     }
@@ -49,6 +55,11 @@
         &mut self.part(partition).index
     }
 
+    /// Contents that crashed replicas.
+    pub(crate) fn crashes(&self) -> &Crashes {
+        &self.crashes
+    }
+
     /// Epoch below which calls to a partition are refused.
     pub(crate) fn epoch(&self, partition: u16) -> u64 {
         self.parts.get(&partition).map_or(0, |part| part.epoch)
@@ -112,9 +123,12 @@
         })
     }
 
-    /// All lines of a partition.
+    /// All lines of a partition, and the crashes, which an instance that
+    /// copies it may not know.
     pub(crate) fn lines(&self, partition: u16) -> Vec<Line> {
-        self.parts.get(&partition).map_or_else(Vec::new, |part| part.index.lines())
+        let mut lines = self.crashes.lines();
+        lines.extend(self.parts.get(&partition).into_iter().flat_map(|part| part.index.lines()));
+        lines
     }
 
     /// All lines, as a log written anew holds them.
@@ -124,12 +138,14 @@
             let lines = part.index.lines().into_iter().chain([epoch]);
             lines.map(|line| (partition, line)).collect::<Vec<_>>()
         };
-        self.parts.iter().flat_map(place).collect()
+        let crashes = self.crashes.lines().into_iter().map(|line| (CRASHES_PLACE, line));
+        self.parts.iter().flat_map(place).chain(crashes).collect()
     }
 
     /// Drops what has expired.
     pub(crate) fn expire(&mut self, now: Instant, margin: Duration) {
         self.parts.values_mut().for_each(|part| part.index.expire(now, margin));
+        self.crashes.expire(now);
     }
 
     /// Number of turns and of programs.
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -101,6 +101,8 @@
     pub clients: u32,
     /// How the answers fare that these pass on.
     pub strains: Strains,
+    /// Digests of requests that crash replicas.
+    pub quarantined: Vec<u64>,
 }
 
 /// Client of the ledger.
@@ -174,8 +176,8 @@
                 strains: strains.clone(),
             };
             match time::timeout(NEWS_TIMEOUT, link.call(scope, ask)).await {
-                Ok(Ok(Answer::News { news, askers, strains })) => {
-                    Some(Heard { news, clients: askers, strains })
+                Ok(Ok(Answer::News { news, askers, strains, quarantined })) => {
+                    Some(Heard { news, clients: askers, strains, quarantined })
                 }
                 _ => None,
             }
@@ -439,6 +441,15 @@
         Err(LedgerError::Unavailable("too few members know the chain"))
     }
 
+    /// Tells all instances that a start of a replica crashed while it ran a
+    /// request.
+    pub fn report_crash(&self, content: u64, upstream: Name) {
+        let scope = Scope { partition: 0, epoch: 0 };
+        for link in lock(&self.state).links.all() {
+            link.tell(scope, Ask::Crash { content, upstream: upstream.clone() });
+        }
+    }
+
     /// Tells what a turn has spent that did not finish whole.
     pub fn settle(&self, key: &TurnKey, tokens: u32) {
         let Some(program) = key.program.clone() else { return };
--- a/crates/gg-ledger/src/entry.rs
+++ b/crates/gg-ledger/src/entry.rs
@@ -47,6 +47,13 @@
     Forget,
     /// Nothing of an older epoch is acknowledged after this line.
     Epoch(u64),
+    /// A replica crashed while it ran a request.
+    Crash {
+        /// Digest of the request.
+        content: u64,
+        /// Start of the replica.
+        upstream: Name,
+    },
 }
 
 /// A line and the partition that it belongs to.
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -10,6 +10,7 @@
 mod askers;
 mod book;
 mod client;
+mod crashes;
 mod entry;
 mod error;
 mod index;
@@ -27,6 +28,7 @@
 
 pub use askers::{Askers, Strains};
 pub use client::{Heard, Ledger, OpenRequest, Opened, TurnKey};
+pub use crashes::Crashes;
 pub use entry::{Line, Placed, TurnRecord};
 pub use error::LedgerError;
 pub use index::{Chain, Index};
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -81,6 +81,13 @@
         /// How the answers that it passes on fare.
         strains: Strains,
     },
+    /// A replica crashed while it ran a request; told to all instances.
+    Crash {
+        /// Digest of the request.
+        content: u64,
+        /// Start of the replica.
+        upstream: Name,
+    },
     /// Tell how far the partition is copied.
     Status,
     /// Send everything of the partition, as [`Answer::Part`]s.
@@ -122,6 +129,8 @@
         askers: u32,
         /// How the answers that these pass on fare.
         strains: Strains,
+        /// Digests of requests that crash replicas.
+        quarantined: Vec<u64>,
     },
     /// Reply to [`Ask::Status`].
     Status {
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     Line, Node, TurnRecord,
+    book::CRASHES_PLACE,
     index::Chain,
     protocol::{Answer, Ask, FrameWriter, Reply, Request, codec, decode, encode, write_frames},
     pull,
@@ -110,7 +111,13 @@
         Ask::News { from, known, strains } => {
             let news = node.mirror().news(&known);
             let (askers, strains) = node.note_asker(from, strains);
-            send(replies, id, Answer::News { news, askers, strains }).await;
+            let quarantined = node.book().crashes().quarantined();
+            send(replies, id, Answer::News { news, askers, strains, quarantined }).await;
+        }
+        Ask::Crash { content, upstream } => {
+            let line = [(CRASHES_PLACE, Line::Crash { content, upstream })];
+            node.apply(&line);
+            node.enqueue(&line);
         }
         Ask::Status => {
             let copied = node.book().copied(partition);
@@ -132,14 +139,16 @@
     }
     let mut book = node.book();
     let is_stale = match &request.ask {
-        Ask::Ping | Ask::News { .. } => false,
+        Ask::Ping | Ask::News { .. } | Ask::Crash { .. } => false,
         Ask::Find { epochs, .. } => book.is_ahead_of(epochs),
         _ => request.epoch < book.epoch(request.partition),
     };
     if is_stale {
         return Some(Answer::Stale(book.layout().clone()));
     }
-    if matches!(request.ask, Ask::Ping | Ask::News { .. } | Ask::Find { .. }) {
+    let is_of_none =
+        matches!(request.ask, Ask::Ping | Ask::News { .. } | Ask::Crash { .. } | Ask::Find { .. });
+    if is_of_none {
         return None;
     }
     // The line that keeps the epoch follows with the next sync.
