Less urgent work that was let in does not keep urgent work out

Change: work of a rank is held against the requests under way that are as urgent or more; a rank that gets in less than 0.3 times as often as all is held against the most urgent ones only.

--- a/crates/gg-dispatch/src/admission.rs
+++ b/crates/gg-dispatch/src/admission.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use gg_protocol::Strain;
+use gg_protocol::{Strain, config::RANKS};
 
 /// Past that the shares of late and slow answers look at.
 const ANSWERS_HALF_LIFE: Duration = Duration::from_millis(500);
@@ -57,13 +57,9 @@
 /// Requests added to the limit in a step with room.
 const INCREASE: f64 = 0.2;
 
-/// Part of the limit that the next lower rank may fill; the rest is kept for
-/// more urgent work.
-const RANK_SHARE: f64 = 0.8;
-
 /// A rank that gets in less often than this share of all counts as starved
 /// and is let in as if it were the most urgent one.
-const FLOOR_SHARE: f64 = 0.5;
+const FLOOR_SHARE: f64 = 0.3;
 
 /// Past that floors and forecasts look at.
 const HALF_LIFE: Duration = Duration::from_secs(3);
@@ -88,18 +84,31 @@
 /// How much a gateway has on the replicas of a service.
 #[derive(Clone, Copy, Debug)]
 pub struct Fill {
-    /// Requests of ours.
-    pub under_way: u32,
+    /// Requests of ours, by rank.
+    pub under_way: [u32; RANKS],
     /// Our part of the replicas' places.
     pub places: f64,
 }
 
+impl Fill {
+    /// Requests as urgent as `rank` or more.
+    fn urgent(&self, rank: u8) -> f64 {
+        let count = usize::from(rank).min(RANKS - 1) + 1;
+        f64::from(self.under_way[..count].iter().sum::<u32>())
+    }
+
+    /// All requests.
+    fn total(&self) -> f64 {
+        f64::from(self.under_way.iter().sum::<u32>())
+    }
+}
+
 /// Work that is turned away.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refusal {
     /// When it should come back.
     pub retry: Duration,
-    /// Limit in force for its rank.
+    /// Limit on the requests under way that are as urgent or more.
     pub limit: f64,
     /// How answers fared lately.
     pub strain: Strain,
@@ -206,7 +215,7 @@
         let strain = self.strain(now);
         let mean = strain.mean_under_way().map_or(0.0, f64::from);
         let worst = strain.worst();
-        let under_way = f64::from(fill.under_way);
+        let under_way = fill.total();
         if mean > FULL_SHARE * fill.places || worst.is_some_and(|worst| worst > LATE_HIGH) {
             self.limit = self.limit.min(under_way) * DECREASE;
         } else if worst.is_some_and(|worst| worst < LATE_LOW) {
@@ -226,8 +235,10 @@
         draw: f64,
     ) -> Result<(), Refusal> {
         self.fade(now);
-        let limit = self.limit.max(FREE_SHARE * fill.places) * self.share(work.rank);
-        let is_admitted = f64::from(fill.under_way) + draw < limit;
+        let limit = self.limit.max(FREE_SHARE * fill.places);
+        // Less urgent work that was let in does not keep urgent work out.
+        let rank = if self.is_starved(work.rank) { 0 } else { work.rank };
+        let is_admitted = fill.urgent(rank) + draw < limit;
         let demand = self.demands.entry(work.rank).or_default();
         demand.offered += 1.0;
         if is_admitted {
@@ -238,15 +249,6 @@
         Err(Refusal { retry, limit, strain: self.strain(now) })
     }
 
-    /// Part of the limit that work of a rank may fill.
-    fn share(&self, rank: u8) -> f64 {
-        if self.is_starved(rank) {
-            return 1.0;
-        }
-        let more_urgent = self.demands.range(..rank).count();
-        RANK_SHARE.powi(i32::try_from(more_urgent).unwrap_or(i32::MAX))
-    }
-
     fn is_starved(&self, rank: u8) -> bool {
         let Some(own) = self.demands.get(&rank) else { return false };
         let sum = |part: fn(&Demand) -> f64| self.demands.values().map(part).sum::<f64>();
--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -42,7 +42,7 @@
     let retry_ms = refusal.retry.as_millis() as u64;
     state.metrics.count("refused_new", &[("rank", &work.rank.to_string())]);
     log::info!(
-        "event=refused_new request={} service={} rank={} under_way={} places={:.1} limit={:.1} \
+        "event=refused_new request={} service={} rank={} under_way={:?} places={:.1} limit={:.1} \
          late={:.0}/{:.0} slow={:.0}/{:.0} retry_ms={retry_ms}",
         job.id(),
         job.service.name,
@@ -97,8 +97,8 @@
     let mut admissions = lock(&state.admissions);
     let told = admissions.iter_mut().map(|(name, admission)| {
         let service = state.fleet.service(name).unwrap_or_default();
-        let under_way = under_way(&service) as f32;
-        let strain = Strain { under_way, tellers: 1.0, ..*admission.own(now) };
+        let under_way: u32 = service.load.under_way().iter().sum();
+        let strain = Strain { under_way: under_way as f32, tellers: 1.0, ..*admission.own(now) };
         (name.clone(), strain)
     });
     told.collect()
@@ -123,12 +123,7 @@
 fn fill<D>(state: &State<D>, service: &Service) -> Fill {
     let slots: u32 = service.replicas.iter().map(|replica| replica.upstream.slots).sum();
     let places = f64::from(slots) / f64::from(state.gateways());
-    Fill { under_way: under_way(service), places }
-}
-
-/// Requests of ours on the replicas of a service.
-fn under_way(service: &Service) -> u32 {
-    service.replicas.iter().map(|replica| replica.load()).sum()
+    Fill { under_way: service.load.under_way(), places }
 }
 
 fn with<D, T>(
--- a/crates/gg-gateway/src/fleet.rs
+++ b/crates/gg-gateway/src/fleet.rs
@@ -9,9 +9,11 @@
 use gg_protocol::Name;
 use gg_route::{Upstream, UpstreamState};
 use indexmap::IndexMap;
-use tokio::sync::Notify;
 
-use crate::{replica::Replica, state::lock};
+use crate::{
+    replica::{Replica, ServiceLoad},
+    state::lock,
+};
 
 /// Entries that lapsed while the directory was away are back within this
 /// time after its return; until then they stay usable.
@@ -37,7 +39,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Service {
     pub(crate) replicas: Vec<Arc<Replica>>,
-    pub(crate) freed: Arc<Notify>,
+    pub(crate) load: Arc<ServiceLoad>,
 }
 
 impl Fleet {
@@ -119,9 +121,9 @@
             upstream.state
         );
         let service = self.services.entry(upstream.service.clone()).or_default();
-        let replica = Arc::new(Replica::new(upstream, service.freed.clone()));
+        let replica = Arc::new(Replica::new(upstream, service.load.clone()));
         service.replicas.push(replica.clone());
-        service.freed.notify_waiters();
+        service.load.freed.notify_waiters();
         self.replicas.insert(name, replica);
     }
 
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -50,8 +50,8 @@
         let Some(service) = state.fleet.service(&job.service.name) else {
             return Err(give_up("no replica of the service is known"));
         };
-        let freed = service.freed.clone();
-        let notified = freed.notified();
+        let load = service.load.clone();
+        let notified = load.freed.notified();
         let open = untried(&service, tried);
         if open.is_empty() {
             return Err(give_up("no replica is left to try"));
@@ -117,5 +117,5 @@
         chosen.delay_ms
     );
     let reading_ms = chosen.reading_ms(opened.history.len(), &settings);
-    Some(replica.occupy(Duration::from_secs_f64(reading_ms / 1e3)))
+    Some(replica.occupy(job.route.rank, Duration::from_secs_f64(reading_ms / 1e3)))
 }
--- a/crates/gg-gateway/src/replica.rs
+++ b/crates/gg-gateway/src/replica.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use gg_protocol::Name;
+use gg_protocol::{Name, config::RANKS};
 use gg_route::{Upstream, UpstreamState};
 use tokio::sync::Notify;
 
@@ -22,6 +22,21 @@
 /// observation, so that one that was slow gets tried again.
 const DELAY_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// What all replicas of one service have of ours.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceLoad {
+    /// Told when a request leaves a replica of the service.
+    pub(crate) freed: Notify,
+    under_way: [AtomicU32; RANKS],
+}
+
+impl ServiceLoad {
+    /// Requests by rank.
+    pub(crate) fn under_way(&self) -> [u32; RANKS] {
+        self.under_way.each_ref().map(|count| count.load(Ordering::Relaxed))
+    }
+}
+
 /// A replica of one service.
 #[derive(Debug)]
 pub(crate) struct Replica {
@@ -30,8 +45,7 @@
     load: AtomicU32,
     leaving: AtomicBool,
     belief: Mutex<Belief>,
-    /// Told when a request leaves a replica of the service.
-    freed: Arc<Notify>,
+    service_load: Arc<ServiceLoad>,
 }
 
 /// What was seen of a replica.
@@ -44,13 +58,13 @@
 }
 
 impl Replica {
-    pub(crate) fn new(upstream: Upstream, freed: Arc<Notify>) -> Self {
+    pub(crate) fn new(upstream: Upstream, service_load: Arc<ServiceLoad>) -> Self {
         Replica {
             pool: Pool::new(upstream.address),
             load: AtomicU32::new(0),
             leaving: AtomicBool::new(upstream.state == UpstreamState::Draining),
             belief: Mutex::default(),
-            freed,
+            service_load,
             upstream,
         }
     }
@@ -109,10 +123,12 @@
     }
 
     /// Takes a place on the replica until the result is dropped, for a
-    /// request that it is expected to take `reading` to read.
-    pub(crate) fn occupy(self: &Arc<Self>, reading: Duration) -> Place {
+    /// request of `rank` that it is expected to take `reading` to read.
+    pub(crate) fn occupy(self: &Arc<Self>, rank: u8, reading: Duration) -> Place {
+        let place = Place { replica: self.clone(), rank, reading };
         self.load.fetch_add(1, Ordering::Relaxed);
-        Place { replica: self.clone(), reading }
+        place.of_rank().fetch_add(1, Ordering::Relaxed);
+        place
     }
 }
 
@@ -120,13 +136,22 @@
 #[derive(Debug)]
 pub(crate) struct Place {
     pub(crate) replica: Arc<Replica>,
+    rank: u8,
     /// Expected time to read what the replica has not read yet.
     pub(crate) reading: Duration,
 }
 
+impl Place {
+    /// Count of the requests of its rank.
+    fn of_rank(&self) -> &AtomicU32 {
+        &self.replica.service_load.under_way[usize::from(self.rank).min(RANKS - 1)]
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.replica.load.fetch_sub(1, Ordering::Relaxed);
-        self.replica.freed.notify_one();
+        self.of_rank().fetch_sub(1, Ordering::Relaxed);
+        self.replica.service_load.freed.notify_one();
     }
 }
