--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -104,11 +104,12 @@
     let index = choose(&candidates, opened.history.len(), &settings, draw)?;
     let (replica, chosen) = (open[index], &candidates[index]);
     log::info!(
-        "event=placed request={} replica={} candidates={} load={} far={} warm={} previous={} \
-         suspect={} delay_ms={:.0}",
+        "event=placed request={} replica={} candidates={} history={} load={} far={} warm={} \
+         previous={} suspect={} delay_ms={:.0}",
         job.id(),
         replica.upstream.id.name,
         open.len(),
+        opened.history.len(),
         chosen.load,
         chosen.is_far,
         chosen.is_warm,
