--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -16,7 +16,7 @@
 
 /// A stream whose first event takes longer than this share of its objective
 /// waited at the replica; on free ones it takes a tenth.
-const STREAM_LATE_SHARE: f64 = 0.25;
+pub const STREAM_LATE_SHARE: f64 = 0.25;
 
 /// The same for a call's whole answer, most of which is its work.
 const CALL_LATE_SHARE: f64 = 0.6;
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod stream;
 mod walk;
 
+pub use admit::STREAM_LATE_SHARE;
 pub use choice::{Candidate, ChoiceSettings, choose};
 pub use fleet::Fleet;
 pub use freshness::{FRESH_TIME, Freshness};
