--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -213,6 +213,21 @@
     }
 }
 
+impl<D: Deployment> Drop for Relay<D> {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let job = &self.settle.job;
+        let (id, events, ms) = (job.id(), self.settle.events, job.began.elapsed().as_millis());
+        self.settle.state.metrics.count("streams", &[("result", "client_left")]);
+        log::info!(
+            "event=client_left request={id} replica={} events={events} ms={ms}",
+            self.upstream
+        );
+    }
+}
+
 /// The stream that the client's answer is made of.
 pub(crate) fn relay<D: Deployment>(
     relay: Relay<D>,
@@ -224,12 +239,13 @@
         let piece = match relay.next().await {
             Ok(Some(data)) => Ok(Frame::data(data)),
             Ok(None) => {
+                relay.is_over = true;
                 relay.log_end(None);
                 return None;
             }
             Err(err) => {
-                relay.log_end(Some(&err));
                 relay.is_over = true;
+                relay.log_end(Some(&err));
                 Err(err)
             }
         };
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -91,7 +91,9 @@
     match opened {
         Ok(opened) => Ok(opened),
         Err(LedgerError::NoSuchTurn) => {
-            Err(Failure::not_run(Code::NotFound, "the turn to continue from does not exist"))
+            let previous = turn.previous.as_deref().unwrap_or("-");
+            let message = format!("turn {previous}, to continue from, does not exist");
+            Err(Failure::not_run(Code::NotFound, message))
         }
         Err(err @ LedgerError::BudgetSpent(_)) => {
             Err(Failure::not_run(Code::BudgetExhausted, err.to_string()))
--- a/crates/gg-gateway/src/walk.rs
+++ b/crates/gg-gateway/src/walk.rs
@@ -50,6 +50,22 @@
     }
 }
 
+/// Notices when the client closes its connection before it is answered.
+struct Watch {
+    id: Name,
+    began: Instant,
+    is_answered: bool,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            let ms = self.began.elapsed().as_millis();
+            log::info!("event=client_left request={} ms={ms}", self.id);
+        }
+    }
+}
+
 /// Answers one request.
 pub(crate) async fn answer<D: Deployment>(
     state: Arc<State<D>>,
@@ -59,6 +75,7 @@
     let began = Instant::now();
     let envelope = state.dialect.envelope(&head.headers);
     let id = envelope.as_ref().map_or_else(|_| "-".into(), |envelope| envelope.request.clone());
+    let mut watch = Watch { id: id.clone(), began, is_answered: false };
     let mut response = match admit(&state, envelope, head, body, began).await {
         Err(failure) => {
             log::info!("event=not_admitted request={id} reason={failure}");
@@ -77,6 +94,7 @@
             finish(&state, &job, answered)
         }
     };
+    watch.is_answered = true;
     if state.is_stopping() || !state.ledger.is_ready() {
         // The client's next connection goes to a gateway that is ready.
         let close = header::HeaderValue::from_static("close");
@@ -89,25 +107,28 @@
 fn finish<D, S>(state: &State<D>, job: &Job, answered: Result<Answer<S>, Failure>) -> Answer<S> {
     let ms = job.began.elapsed().as_millis();
     let (id, kind, route) = (job.id(), job.route.kind.as_str(), &job.route.name);
+    let rank = job.route.rank;
     let result = match &answered {
         Ok(response) => response.status().as_str().to_owned(),
         Err(failure) => failure.code.as_str().to_owned(),
     };
-    let rank = job.route.rank.to_string();
-    let tags = [("kind", kind), ("rank", &rank), ("result", &result)];
+    let rank_text = rank.to_string();
+    let tags = [("kind", kind), ("rank", &rank_text), ("result", &result)];
     state.metrics.count("requests", &tags);
     state.metrics.time("head", job.began.elapsed().as_micros() as u64, &tags[..2]);
     match answered {
         Ok(response) => {
             let status = response.status().as_u16();
             log::info!(
-                "event=answered request={id} kind={kind} route={route} status={status} ms={ms}"
+                "event=answered request={id} kind={kind} rank={rank} route={route} status={status} \
+                 ms={ms}"
             );
             response
         }
         Err(failure) => {
             log::warn!(
-                "event=failed request={id} kind={kind} route={route} ms={ms} reason={failure}"
+                "event=failed request={id} kind={kind} rank={rank} route={route} ms={ms} \
+                 reason={failure}"
             );
             answer::failure(&failure).map(Either::Left)
         }
--- a/crates/gg-operator/src/commands/line.rs
+++ b/crates/gg-operator/src/commands/line.rs
@@ -5,7 +5,7 @@
 use super::{
     apply::ApplyCommand, check::CheckCommand, digest::DigestCommand, drain::DrainCommand,
     explain::ExplainCommand, profile::ProfileCommand, program::ProgramCommand,
-    status::StatusCommand, trace::TraceCommand,
+    report::ReportCommand, status::StatusCommand, trace::TraceCommand,
 };
 use crate::OperatorClient;
 
@@ -45,6 +45,7 @@
     Explain(ExplainCommand),
     Profile(ProfileCommand),
     Program(ProgramCommand),
+    Report(ReportCommand),
     Status(StatusCommand),
     Trace(TraceCommand),
 }
@@ -69,6 +70,7 @@
         Command::Explain(command) => command.run(&context).await,
         Command::Profile(command) => command.run(&context).await,
         Command::Program(command) => command.run(&context).await,
+        Command::Report(command) => command.run(&context),
         Command::Status(command) => command.run(&context).await,
         Command::Trace(command) => command.run(&context),
     };
--- a/crates/gg-operator/src/commands/mod.rs
+++ b/crates/gg-operator/src/commands/mod.rs
@@ -6,9 +6,12 @@
 mod drain;
 mod explain;
 mod line;
+mod log_lines;
 mod output;
+mod page;
 mod profile;
 mod program;
+mod report;
 mod status;
 mod trace;
 
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -55,3 +55,28 @@
     let both = format!("{good}[ledger]\nlisten = 127.0.0.1:4\nfolder = /x\n");
     assert_eq!(run(&["check", &file("both.ini", &both)]).0, Some(2));
 }
+
+#[test]
+fn report_counts() {
+    let log = file(
+        "day.log",
+        "time_ms=1000 level=info instance=g-1 event=answered request=a kind=stream rank=0 ms=20\n\
+         time_ms=1100 level=info instance=g-1 event=answered request=b kind=stream rank=0 ms=40\n\
+         time_ms=2000 level=warn instance=g-1 event=failed request=c kind=stream rank=2 ms=1 \
+         reason=overloaded: full (ran: no)\n\
+         time_ms=2500 level=warn instance=g-1 event=failed request=d kind=stream rank=2 ms=9 \
+         reason=upstream_failed: the replica broke off (ran: unknown)\n\
+         time_ms=2600 level=info instance=g-1 event=placed request=e replica=r-1\n",
+    );
+    let page = file("day.html", "");
+    let (status, text) = run(&["--json", "report", "--page", &page, &log]);
+    let report: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(status, Some(0), "{text}");
+    let (urgent, other) = (&report["kinds"][0], &report["kinds"][1]);
+    assert_eq!((urgent["answered"].as_u64(), urgent["p95_ms"].as_u64()), (Some(2), Some(40)));
+    assert_eq!((other["refused"].as_u64(), other["failed"].as_u64()), (Some(1), Some(1)));
+    assert_eq!(report["reasons"]["refused overloaded"].as_u64(), Some(1));
+    let page = fs::read_to_string(page).expect("the page");
+    assert!(page.contains("<svg") && page.contains("refused overloaded"), "{page}");
+    assert_eq!(run(&["report", &file("empty.log", "nothing\n")]).0, Some(2));
+}
