--- a/crates/gg-operator/src/commands/report.rs
+++ b/crates/gg-operator/src/commands/report.rs
@@ -118,7 +118,10 @@
 impl Day {
     fn take(&mut self, line: &LogLine) {
         let Some(ending) = Ending::of(line) else { return };
-        let named = |name: &str| line.get(name).unwrap_or("-").to_owned();
+        // Collectors may cut lines apart; what is left of one names no kind.
+        let is_word =
+            |word: &&str| word.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'_');
+        let named = |name: &str| line.get(name).filter(is_word).unwrap_or("-").to_owned();
         let group = self.groups.entry((named("kind"), named("rank"))).or_default();
         let second = self.seconds.entry(line.time_ms / 1000).or_default();
         for group in [group, second] {
