Half of the limit is kept for urgent work; gateways tell only of services that they use

And what gateways tell each other grew with all services, over the 2 KB/s of control at 370 gateways and 30 services (worked out). Gateways tell of services that they use, and hear of these only; above 120 gateways each asks less often, down to half.

--- a/crates/gg-dispatch/src/admission.rs
+++ b/crates/gg-dispatch/src/admission.rs
@@ -61,6 +61,14 @@
 /// and is let in as if it were the most urgent one.
 const FLOOR_SHARE: f64 = 0.3;
 
+/// Part of the limit that the next lower rank may fill; the rest is for more
+/// urgent work.
+const RANK_SHARE: f64 = 0.8;
+
+/// Share of the limit that work of a rank and more urgent ranks may fill
+/// whatever is under way of less urgent ones.
+const KEPT_SHARE: f64 = 0.5;
+
 /// Past that floors and forecasts look at.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
@@ -236,9 +244,10 @@
     ) -> Result<(), Refusal> {
         self.fade(now);
         let limit = self.limit.max(FREE_SHARE * fill.places);
+        let is_free = fill.total() + draw < limit * self.share(work.rank);
         // Less urgent work that was let in does not keep urgent work out.
-        let rank = if self.is_starved(work.rank) { 0 } else { work.rank };
-        let is_admitted = fill.urgent(rank) + draw < limit;
+        let is_kept_free = fill.urgent(work.rank) + draw < limit * KEPT_SHARE;
+        let is_admitted = is_free || is_kept_free;
         let demand = self.demands.entry(work.rank).or_default();
         demand.offered += 1.0;
         if is_admitted {
@@ -249,6 +258,15 @@
         Err(Refusal { retry, limit, strain: self.strain(now) })
     }
 
+    /// Part of the limit that may be full when work of a rank is let in.
+    fn share(&self, rank: u8) -> f64 {
+        if self.is_starved(rank) {
+            return 1.0;
+        }
+        let more_urgent = self.demands.range(..rank).count();
+        RANK_SHARE.powi(i32::try_from(more_urgent).unwrap_or(i32::MAX))
+    }
+
     fn is_starved(&self, rank: u8) -> bool {
         let Some(own) = self.demands.get(&rank) else { return false };
         let sum = |part: fn(&Demand) -> f64| self.demands.values().map(part).sum::<f64>();
--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -21,6 +21,10 @@
 /// The same for a call's whole answer, most of which is its work.
 const CALL_LATE_SHARE: f64 = 0.6;
 
+/// A service with fewer recent answers and nothing under way is not worth
+/// telling others of.
+const TOLD_MIN: f32 = 0.1;
+
 /// Decides on a request that begins something: the first turn of a program,
 /// or a request outside any. Everything else belongs to work under way, which
 /// has been let in already.
@@ -101,7 +105,7 @@
         let strain = Strain { under_way: under_way as f32, tellers: 1.0, ..*admission.own(now) };
         (name.clone(), strain)
     });
-    told.collect()
+    told.filter(|(_, strain)| strain.begun >= TOLD_MIN || strain.under_way > 0.0).collect()
 }
 
 /// Takes in how those of many gateways did.
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -31,6 +31,10 @@
 /// change is heard of.
 const ASK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// With more gateways than this, each asks less often, down to half as often:
+/// its answers stay fresh ([`FRESH_TIME`]) with one lost.
+const ASKERS_FULL: u32 = 120;
+
 /// Time after the start in which the ledger instances are waited for before
 /// kinds other than theirs are asked of the directory.
 const START_PATIENCE: Duration = Duration::from_millis(2_500);
@@ -85,7 +89,8 @@
                 }
             }
         }
-        time::sleep(ASK_INTERVAL).await;
+        let crowd = f64::from(state.gateways()) / f64::from(ASKERS_FULL);
+        time::sleep(ASK_INTERVAL.mul_f64(crowd.clamp(1.0, 2.0))).await;
     }
 }
 
--- a/crates/gg-ledger/src/askers.rs
+++ b/crates/gg-ledger/src/askers.rs
@@ -8,7 +8,6 @@
 };
 
 use gg_protocol::{Name, Strain};
-use indexmap::IndexMap;
 
 /// A client that has not asked for this long is gone. Each asks some instance
 /// every few hundred ms, so in this time nearly all come by here.
@@ -41,16 +40,18 @@
         u32::try_from(self.asked.len()).unwrap_or(u32::MAX)
     }
 
-    /// How the answers of all clients that told lately fare.
-    pub fn strains(&self, now: Instant) -> Strains {
-        let recent = self
-            .asked
-            .values()
-            .filter(|asker| now.saturating_duration_since(asker.at) < STRAIN_TIME);
-        let mut sums: IndexMap<Name, Strain> = IndexMap::new();
-        for (service, strain) in recent.flat_map(|asker| &asker.strains) {
-            sums.entry(service.clone()).or_default().add(strain);
-        }
-        sums.into_iter().collect()
+    /// How the answers of all clients that asked lately fare, for the services
+    /// that `name` told of. Those that told nothing have nothing under way.
+    pub fn strains(&self, name: &str, now: Instant) -> Strains {
+        let Some(asker) = self.asked.get(name) else { return Strains::new() };
+        let is_recent = |asker: &&Asker| now.saturating_duration_since(asker.at) < STRAIN_TIME;
+        let recent: Vec<&Asker> = self.asked.values().filter(is_recent).collect();
+        let sum = |service: &Name| {
+            let mut sum = Strain::default();
+            let told = recent.iter().flat_map(|asker| &asker.strains);
+            told.filter(|(told, _)| told == service).for_each(|(_, strain)| sum.add(strain));
+            Strain { tellers: recent.len() as f32, ..sum }
+        };
+        asker.strains.iter().map(|(service, _)| (service.clone(), sum(service))).collect()
     }
 }
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -165,7 +165,7 @@
     pub(crate) fn note_asker(&self, name: Name, strains: Strains) -> (u32, Strains) {
         let now = Instant::now();
         let mut askers = lock(&self.shared.askers);
-        (askers.note(name, strains, now), askers.strains(now))
+        (askers.note(name.clone(), strains, now), askers.strains(&name, now))
     }
 
     /// Takes in a layout; one that is newer in no partition changes nothing.
--- /dev/null
+++ b/crates/gg-ledger/tests/askers.rs
@@ -0,0 +1,36 @@
+//! What clients that ask for news tell each other.
+
+use std::time::{Duration, Instant};
+
+use gg_ledger::Askers;
+use gg_protocol::Strain;
+
+fn strain(under_way: f32) -> Strain {
+    Strain { begun: 10.0, late: 2.0, under_way, tellers: 1.0, ..Strain::default() }
+}
+
+#[test]
+fn sums_services_told_of() {
+    let now = Instant::now();
+    let mut askers = Askers::default();
+    askers.note("a".into(), vec![("chat".into(), strain(3.0))], now);
+    askers.note("b".into(), vec![("chat".into(), strain(5.0)), ("tool".into(), strain(1.0))], now);
+    assert_eq!(askers.note("c".into(), Vec::new(), now), 3);
+    let [(service, sum)] = &askers.strains("a", now)[..] else { panic!("one service") };
+    assert_eq!((&**service, sum.begun, sum.late), ("chat", 20.0, 4.0));
+    // The third has nothing under way there.
+    assert_eq!((sum.under_way, sum.tellers), (8.0, 3.0));
+    assert!(askers.strains("c", now).is_empty(), "it has told of nothing");
+}
+
+#[test]
+fn forgets_the_silent() {
+    let start = Instant::now();
+    let mut askers = Askers::default();
+    askers.note("a".into(), vec![("chat".into(), strain(3.0))], start);
+    let later = start + Duration::from_secs(2);
+    assert_eq!(askers.note("b".into(), vec![("chat".into(), strain(5.0))], later), 2);
+    let sum = askers.strains("b", later)[0].1;
+    assert_eq!((sum.under_way, sum.tellers), (5.0, 1.0), "old answers tell nothing of now");
+    assert_eq!(askers.note("b".into(), Vec::new(), start + Duration::from_secs(60)), 1);
+}
