--- a/crates/gg-dispatch/src/lib.rs
+++ b/crates/gg-dispatch/src/lib.rs
@@ -1,5 +1,5 @@
-//! Decisions about replicas: which one a call goes to, how many calls one
-//! takes at a time, and whose turn it is.
+//! Decisions about replicas: whether new work is let in, which one a call goes
+//! to, how many calls one takes at a time, and whose turn it is.
 //!
 //! ```
 //! use gg_dispatch::RetryBudget;
