Refused clients' connections end, and others while connections are scarce; idle ones stay small

Ruled out: a larger limit (memory); shorter idle times (bound by the users). Change: a 429 or 503 of ours closes its connection, which the client leaves anyway; while fewer than half of a listener's connections are free, each ends with its answer; a request's future is on the heap, so that an idle connection doesn't keep room for one.

--- a/crates/gg-gateway/src/walk.rs
+++ b/crates/gg-gateway/src/walk.rs
@@ -8,7 +8,7 @@
 use gg_ledger::TurnKey;
 use gg_protocol::{Code, Failure, Name};
 use gg_route::{Deployment, Envelope, EnvelopeFault, Route, RouteKind, RouteTable, Service};
-use http::{Request, Response, header, request::Parts};
+use http::{Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::{self, Instant};
@@ -95,14 +95,20 @@
         }
     };
     watch.is_answered = true;
-    if state.is_stopping() || !state.ledger.is_ready() {
-        // The client's next connection goes to a gateway that is ready.
+    if state.is_stopping() || !state.ledger.is_ready() || is_refusal(response.status()) {
+        // The client's next connection goes to a gateway that is ready, and a
+        // refused client comes back on a new one anyway.
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
     response
 }
 
+/// Whether clients come back after an answer of ours.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
+}
+
 /// Logs how a request ended, or how its stream began.
 fn finish<D, S>(state: &State<D>, job: &Job, answered: Result<Answer<S>, Failure>) -> Answer<S> {
     let ms = job.began.elapsed().as_millis();
--- a/crates/gg-http/src/server.rs
+++ b/crates/gg-http/src/server.rs
@@ -56,6 +56,10 @@
 /// Pause after a failed accept, which mostly means too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// While fewer than this share of the connections are free, each ends with
+/// its answer, so that idle ones don't keep new clients waiting.
+const FREE_SHARE: f64 = 0.5;
+
 /// Smallest read buffer that the library takes, in bytes.
 const HEAD_BYTES_MIN: usize = 8 << 10;
 
@@ -99,7 +103,9 @@
             time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let connection = connection(socket, limits(), stop.clone(), handler.clone());
+        let room =
+            Room { slots: slots.clone(), free_min: (connections as f64 * FREE_SHARE) as usize };
+        let connection = connection(socket, limits(), stop.clone(), room, handler.clone());
         tasks.spawn(async move {
             connection.await;
             drop(slot);
@@ -110,16 +116,42 @@
     let _ = time::timeout(limits().stop_timeout, tasks.wait()).await;
 }
 
-async fn connection<H, F, B>(socket: TcpStream, limits: Limits, stop: CancellationToken, handler: H)
-where
+/// Connections that are still free.
+struct Room {
+    slots: Arc<Semaphore>,
+    free_min: usize,
+}
+
+impl Room {
+    fn is_scarce(&self) -> bool {
+        self.slots.available_permits() < self.free_min
+    }
+}
+
+async fn connection<H, F, B>(
+    socket: TcpStream,
+    limits: Limits,
+    stop: CancellationToken,
+    room: Room,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<B>>,
     B: HttpBody<Data = Bytes, Error: Into<BoxError>> + 'static,
 {
     let _ = socket.set_nodelay(true);
     let service = service_fn(|request| {
-        let response = handler(request);
-        async { Ok::<_, Infallible>(response.await) }
+        // On the heap, as the library keeps room for it on idle connections too.
+        let answered = Box::pin(handler(request));
+        let is_scarce = room.is_scarce();
+        async move {
+            let mut response = answered.await;
+            if is_scarce {
+                let close = header::HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(limits.head_timeout);
