--- a/crates/gg-dispatch/src/admission.rs
+++ b/crates/gg-dispatch/src/admission.rs
@@ -42,8 +42,8 @@
 /// With less than this share late there is room for more.
 const LATE_LOW: f32 = 0.25;
 
-/// While less than this share of our part of the places is taken, nothing is
-/// refused.
+/// While less than this share of all places is taken, or of our part of them,
+/// nothing is refused.
 const FREE_SHARE: f64 = 0.5;
 
 /// With more than this share of all places taken, work begins to wait at the
@@ -247,7 +247,9 @@
         let is_free = fill.total() + draw < limit * self.share(work.rank);
         // Less urgent work that was let in does not keep urgent work out.
         let is_kept_free = fill.urgent(work.rank) + draw < limit * KEPT_SHARE;
-        let is_admitted = is_free || is_kept_free;
+        let mean = self.strain(now).mean_under_way();
+        let is_calm = mean.is_some_and(|mean| f64::from(mean) < FREE_SHARE * fill.places);
+        let is_admitted = is_calm || is_free || is_kept_free;
         let demand = self.demands.entry(work.rank).or_default();
         demand.offered += 1.0;
         if is_admitted {
--- a/crates/gg-dispatch/tests/admission.rs
+++ b/crates/gg-dispatch/tests/admission.rs
@@ -159,6 +159,9 @@
     let mut late = admission.clone();
     tell(&mut late, Strain { late: 60.0, ..calm }, &mut now);
     assert!(!is_admitted(&mut late, 0, 3, now), "answers are late elsewhere");
+    let free = Strain { late: 60.0, under_way: 150.0, ..calm };
+    tell(&mut late, free, &mut now);
+    assert!(is_admitted(&mut late, 0, 3, now), "half of all places are free");
     tell(&mut admission, Strain { under_way: 500.0, ..calm }, &mut now);
     assert!(!is_admitted(&mut admission, 0, 3, now), "all places are taken");
 }
