--- a/crates/gg-dispatch/src/admission.rs
+++ b/crates/gg-dispatch/src/admission.rs
@@ -35,8 +35,8 @@
 /// grow or shrink visibly.
 const STEP: Duration = Duration::from_millis(100);
 
-/// With more than this share of answers late or slow, replicas have queues:
-/// one slow replica among several doesn't show as a majority.
+/// With more than this share of answers late or slow, replicas have queues;
+/// a few slow replicas among many stay below it.
 const LATE_HIGH: f32 = 0.4;
 
 /// With less than this share late there is room for more.
@@ -69,7 +69,7 @@
 /// whatever is under way of less urgent ones.
 const KEPT_SHARE: f64 = 0.5;
 
-/// Past that floors and forecasts look at.
+/// Past that the floor of a rank looks at.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
 /// Offers of a rank below which it doesn't matter any more.
@@ -162,10 +162,9 @@
         }
     }
 
-    /// Takes in whether an answer began late, and what we
-    /// have on the replicas.
+    /// Takes in whether an answer began late, with `fill` on the replicas.
     pub fn note(&mut self, is_late: bool, fill: Fill, now: Instant) {
-        let own = self.own(now);
+        let own = self.recent(now);
         own.begun += 1.0;
         own.late += f32::from(u8::from(is_late));
         self.step(fill, now);
@@ -183,14 +182,19 @@
         };
         self.pace = Some((free, now));
         let is_slow = pace_ms > PACE_STRETCH * free;
-        let own = self.own(now);
+        let own = self.recent(now);
         own.paced += 1.0;
         own.slow += f32::from(u8::from(is_slow));
         self.step(fill, now);
     }
 
-    /// How our answers fared lately.
-    pub fn own(&mut self, now: Instant) -> &mut Strain {
+    /// How our answers fared lately, for other gateways.
+    pub fn own(&mut self, now: Instant) -> Strain {
+        Strain { tellers: 1.0, ..*self.recent(now) }
+    }
+
+    /// Our recent answers, those before `now` weighing less.
+    fn recent(&mut self, now: Instant) -> &mut Strain {
         let age = now.saturating_duration_since(self.noted);
         self.noted = now;
         let halves = age.as_secs_f32() / ANSWERS_HALF_LIFE.as_secs_f32();
--- a/crates/gg-emulator/src/gateway.rs
+++ b/crates/gg-emulator/src/gateway.rs
@@ -193,7 +193,7 @@
     pub(crate) fn strain(&mut self, now: Micros) -> Strain {
         let under_way = self.under_way.iter().sum::<u32>() as f32;
         let at = self.at(now);
-        Strain { under_way, tellers: 1.0, ..*self.admission.own(at) }
+        Strain { under_way, ..self.admission.own(at) }
     }
 
     /// Takes in how those of all gateways do.
--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -102,7 +102,7 @@
     let told = admissions.iter_mut().map(|(name, admission)| {
         let service = state.fleet.service(name).unwrap_or_default();
         let under_way: u32 = service.load.under_way().iter().sum();
-        let strain = Strain { under_way: under_way as f32, tellers: 1.0, ..*admission.own(now) };
+        let strain = Strain { under_way: under_way as f32, ..admission.own(now) };
         (name.clone(), strain)
     });
     told.filter(|(_, strain)| strain.begun >= TOLD_MIN || strain.under_way > 0.0).collect()
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -80,9 +80,14 @@
         let known: Vec<(Kind, u64)> =
             kinds.iter().map(|followed| (followed.kind, *lock(&followed.revision))).collect();
         let strains = admit::strains(state);
-        for heard in state.ledger.news(&known, &strains).await {
+        let heard = state.ledger.news(&known, &strains).await;
+        if !heard.is_empty() {
+            // What no instance names any more has expired.
+            let all = heard.iter().flat_map(|one| &one.quarantined).copied();
+            *lock(&state.quarantine) = all.collect();
+        }
+        for heard in heard {
             admit::note_shared(state, heard.strains);
-            lock(&state.quarantine).extend(heard.quarantined);
             for news in heard.news {
                 if let Some(followed) = kinds.iter().find(|followed| followed.kind == news.kind) {
                     followed.take_mirrored(news);
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -3,23 +3,18 @@
 
 use std::{
     collections::HashMap,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Arc, Mutex, atomic::AtomicU32},
     time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
-use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
-use gg_platform::{Kind, MirrorNews};
+use futures::{StreamExt, stream::FuturesUnordered};
 use gg_protocol::Name;
-use rand::seq::SliceRandom;
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Chain, Layout, LedgerError, Strains, TurnRecord,
+    Chain, Layout, LedgerError, TurnRecord,
     index::Spent,
     link::{Link, Scope},
     links::Links,
@@ -46,9 +41,6 @@
 /// put together before a turn is let through or refused.
 const EXACT_TURNS: u64 = 3;
 
-/// Longest wait for an instance's news of the directory.
-const NEWS_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Pause between two looks whether enough members are connected.
 const CONNECT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -92,33 +84,20 @@
     pub is_foreign: bool,
 }
 
-/// What one instance told.
-#[derive(Clone, Debug)]
-pub struct Heard {
-    /// What is new in the directory.
-    pub news: Vec<MirrorNews>,
-    /// Clients that asked it lately.
-    pub clients: u32,
-    /// How the answers fare that these pass on.
-    pub strains: Strains,
-    /// Digests of requests that crash replicas.
-    pub quarantined: Vec<u64>,
-}
-
 /// Client of the ledger.
 #[derive(Debug)]
 pub struct Ledger {
-    client: Name,
-    centre: Name,
+    pub(crate) client: Name,
+    pub(crate) centre: Name,
     /// Clients as last heard of; 0 if not heard of.
-    clients: AtomicU32,
-    state: Mutex<State>,
+    pub(crate) clients: AtomicU32,
+    pub(crate) state: Mutex<State>,
 }
 
 #[derive(Debug)]
-struct State {
+pub(crate) struct State {
     layout: Arc<Layout>,
-    links: Links,
+    pub(crate) links: Links,
 }
 
 impl Ledger {
@@ -129,12 +108,6 @@
         Ledger { client, centre, clients: AtomicU32::new(0), state: Mutex::new(state) }
     }
 
-    /// Number of clients that ask for news, this one included; 0 before any
-    /// news.
-    pub fn clients(&self) -> u32 {
-        self.clients.load(Ordering::Relaxed)
-    }
-
     /// Takes in a layout; one that is newer in no partition changes nothing.
     pub fn set_layout(&self, layout: Layout) {
         let mut state = lock(&self.state);
@@ -164,47 +137,6 @@
         lock(&self.state).links.all().filter(|link| link.is_usable()).count()
     }
 
-    /// Asks two instances, the nearest and one in another data centre, what
-    /// is new in the directory since these revisions; tells them how the
-    /// answers fare that are passed on here.
-    pub async fn news(&self, known: &[(Kind, u64)], strains: &Strains) -> Vec<Heard> {
-        let scope = Scope { partition: 0, epoch: 0 };
-        let calls = self.news_sources().into_iter().map(async |link| {
-            let ask = Ask::News {
-                from: self.client.clone(),
-                known: known.to_vec(),
-                strains: strains.clone(),
-            };
-            match time::timeout(NEWS_TIMEOUT, link.call(scope, ask)).await {
-                Ok(Ok(Answer::News { news, askers, strains, quarantined })) => {
-                    Some(Heard { news, clients: askers, strains, quarantined })
-                }
-                _ => None,
-            }
-        });
-        let heard: Vec<Heard> = join_all(calls).await.into_iter().flatten().collect();
-        // An instance that has just started knows of few.
-        if let Some(clients) = heard.iter().map(|heard| heard.clients).max() {
-            self.clients.store(clients, Ordering::Relaxed);
-        }
-        heard
-    }
-
-    fn news_sources(&self) -> Vec<Arc<Link>> {
-        let state = lock(&self.state);
-        let mut usable: Vec<&Arc<Link>> =
-            state.links.all().filter(|link| link.is_usable()).collect();
-        usable.shuffle(&mut rand::rng());
-        usable.sort_by_key(|link| link.member.centre != self.centre);
-        let Some(first) = usable.first() else { return Vec::new() };
-        let other = usable.iter().find(|link| link.member.centre != first.member.centre);
-        [Some(first), other.or(usable.get(1))]
-            .into_iter()
-            .flatten()
-            .map(|link| (*link).clone())
-            .collect()
-    }
-
     fn partition(&self, key: &TurnKey) -> u16 {
         lock(&self.state).layout.partition(key.program.as_ref().unwrap_or(&key.turn))
     }
@@ -441,15 +373,6 @@
         Err(LedgerError::Unavailable("too few members know the chain"))
     }
 
-    /// Tells all instances that a start of a replica crashed while it ran a
-    /// request.
-    pub fn report_crash(&self, content: u64, upstream: Name) {
-        let scope = Scope { partition: 0, epoch: 0 };
-        for link in lock(&self.state).links.all() {
-            link.tell(scope, Ask::Crash { content, upstream: upstream.clone() });
-        }
-    }
-
     /// Tells what a turn has spent that did not finish whole.
     pub fn settle(&self, key: &TurnKey, tokens: u32) {
         let Some(program) = key.program.clone() else { return };
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -43,10 +43,7 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    if let Some(file) = &arguments.daemon {
-        return support::run_daemon(file);
-    }
-    tokio::runtime::Runtime::new().expect("threads").block_on(measure(arguments))
+    support::run_or_serve(arguments.daemon.clone(), move || measure(arguments))
 }
 
 async fn measure(arguments: Arguments) -> ExitCode {
--- a/examples/fault_runs.rs
+++ b/examples/fault_runs.rs
@@ -32,10 +32,7 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    if let Some(file) = &arguments.daemon {
-        return support::run_daemon(file);
-    }
-    tokio::runtime::Runtime::new().expect("threads").block_on(run_all(arguments))
+    support::run_or_serve(arguments.daemon.clone(), move || run_all(arguments))
 }
 
 async fn run_all(arguments: Arguments) -> ExitCode {
--- a/examples/flood.rs
+++ b/examples/flood.rs
@@ -61,10 +61,7 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    if let Some(file) = &arguments.daemon {
-        return support::run_daemon(file);
-    }
-    tokio::runtime::Runtime::new().expect("threads").block_on(floods(arguments))
+    support::run_or_serve(arguments.daemon.clone(), move || floods(arguments))
 }
 
 async fn floods(arguments: Arguments) -> ExitCode {
--- a/examples/latency.rs
+++ b/examples/latency.rs
@@ -52,10 +52,7 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    if let Some(file) = &arguments.daemon {
-        return support::run_daemon(file);
-    }
-    tokio::runtime::Runtime::new().expect("threads").block_on(measure_all(arguments))
+    support::run_or_serve(arguments.daemon.clone(), move || measure_all(arguments))
 }
 
 async fn measure_all(arguments: Arguments) -> ExitCode {
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -22,10 +22,7 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    if let Some(file) = &arguments.daemon {
-        return support::run_daemon(file);
-    }
-    tokio::runtime::Runtime::new().expect("threads").block_on(play_trace())
+    support::run_or_serve(arguments.daemon.clone(), play_trace)
 }
 
 async fn play_trace() -> ExitCode {
--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -17,8 +17,20 @@
 #[global_allocator]
 static ALLOCATOR: MiMalloc = MiMalloc;
 
+/// Runs an example, or the daemon that it has started itself as, with the
+/// settings file of `daemon`.
+pub fn run_or_serve<F: Future<Output = ExitCode>>(
+    daemon: Option<String>,
+    run: impl FnOnce() -> F,
+) -> ExitCode {
+    match daemon {
+        Some(file) => run_daemon(&file),
+        None => tokio::runtime::Runtime::new().expect("threads").block_on(run()),
+    }
+}
+
 /// Runs a daemon with the settings in `file`.
-pub fn run_daemon(file: &str) -> ExitCode {
+fn run_daemon(file: &str) -> ExitCode {
     let text = std::fs::read_to_string(file).expect("settings file");
     let settings = match DaemonSettings::parse(file, &text) {
         Ok(settings) => settings,
