A fleet of daemons is waited for until all documents are in force

A daemon says that it is ready with any configuration, and the first one comes as several documents, customers last. Change: the stand-in fleet waits until each daemon has all documents.

--- a/crates/gg-fakes/src/fleet.rs
+++ b/crates/gg-fakes/src/fleet.rs
@@ -13,6 +13,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use gg_http::Client;
 use http::Request;
 use tokio::time;
@@ -250,8 +251,11 @@
         for index in 0..fleet.settings.daemons {
             fleet.add_daemon(index);
         }
-        fleet.apply(&fleet.documents()).await;
+        let documents = fleet.documents();
+        fleet.apply(&documents).await;
         fleet.wait_ready().await;
+        let count = documents.lines().filter(|line| line.starts_with('[')).count();
+        fleet.wait_in_force(count).await;
         fleet
     }
 
@@ -372,6 +376,20 @@
         }
     }
 
+    /// Waits until every daemon has so many documents in force. They are
+    /// accepted one after the other, and a daemon that is ready may not have
+    /// heard of the last ones yet.
+    async fn wait_in_force(&self, documents: usize) {
+        let give_up = time::Instant::now() + READY_TIMEOUT;
+        for daemon in &self.daemons {
+            while documents_in_force(&daemon.operators).await < documents {
+                let late = time::Instant::now() >= give_up;
+                assert!(!late, "{} is not configured: {}", daemon.name, daemon.last_words());
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
     /// A caller of a customer, spread over the running daemons.
     pub fn caller(&self, customer: &str) -> CallerClient {
         let running = self.daemons.iter().filter(|daemon| daemon.child.is_some());
@@ -406,10 +424,20 @@
 }
 
 async fn is_ready(operators: &str) -> bool {
-    let request = Request::get(format!("http://{operators}/ready")).body(Default::default());
-    let Ok(request) = request else { return false };
-    let reply = Client::default().call(request, Duration::from_secs(1)).await;
-    reply.is_ok_and(|reply| reply.status.is_success())
+    get(operators, "ready").await.is_some()
+}
+
+async fn documents_in_force(operators: &str) -> usize {
+    let body = get(operators, "versions").await.unwrap_or_default();
+    let versions: Vec<serde_json::Value> = serde_json::from_slice(&body).unwrap_or_default();
+    versions.len()
+}
+
+/// Body of a good answer of a daemon's operators' interface.
+async fn get(operators: &str, path: &str) -> Option<Bytes> {
+    let request = Request::get(format!("http://{operators}/{path}")).body(Default::default());
+    let reply = Client::default().call(request.ok()?, Duration::from_secs(1)).await.ok()?;
+    reply.status.is_success().then_some(reply.body)
 }
 
 fn spawn(starter: &Starter, settings: &Path) -> Child {
