Ports that are tried stay free while other processes start

A process that is being started holds copies of all open sockets until its program runs, so a port that another thread was just trying stayed taken for a moment. Change: a port is tried, and a process started, under one lock; the soak does the same.

--- a/crates/gg-fakes/src/fleet.rs
+++ b/crates/gg-fakes/src/fleet.rs
@@ -2,12 +2,12 @@
 //! and daemons as processes of their own.
 
 use std::{
-    fs,
+    fs, io,
     net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        LazyLock,
+        LazyLock, Mutex, MutexGuard,
         atomic::{AtomicU16, Ordering},
     },
     time::Duration,
@@ -440,15 +440,30 @@
     reply.status.is_success().then_some(reply.body)
 }
 
+/// Held while a port is tried and while a process starts: a process that is
+/// being started holds copies of all open sockets until its program runs, and
+/// with them a port that is just being tried in another thread.
+static STARTING: Mutex<()> = Mutex::new(());
+
+fn starting() -> MutexGuard<'static, ()> {
+    STARTING.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// Starts a process while no port is tried; returns when its program runs.
+pub fn start_process(command: &mut Command) -> io::Result<Child> {
+    let _starting = starting();
+    command.spawn()
+}
+
 fn spawn(starter: &Starter, settings: &Path) -> Child {
-    Command::new(&starter.program)
+    let mut command = Command::new(&starter.program);
+    command
         .args(&starter.arguments)
         .arg(settings)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
-        .stderr(Stdio::inherit())
-        .spawn()
-        .expect("daemon process")
+        .stderr(Stdio::inherit());
+    start_process(&mut command).expect("daemon process")
 }
 
 fn new_folder() -> PathBuf {
@@ -464,11 +479,12 @@
 
 /// A loopback address that was free a moment ago, handed out only once by
 /// this process, so that a daemon that is down keeps its ports.
-fn free_address() -> String {
+pub fn free_address() -> String {
     static NEXT: LazyLock<AtomicU16> = LazyLock::new(|| AtomicU16::new(rand::random_range(PORTS)));
     loop {
         let port = PORTS.start + NEXT.fetch_add(1, Ordering::Relaxed) % (PORTS.end - PORTS.start);
         let address = format!("127.0.0.1:{port}");
+        let _starting = starting();
         if TcpListener::bind(&address).is_ok() {
             return address;
         }
--- a/crates/gg-fakes/src/lib.rs
+++ b/crates/gg-fakes/src/lib.rs
@@ -15,7 +15,9 @@
 
 pub use callers::{CallerClient, ChatReply, StreamTimes, Told, read_stream};
 pub use engine::{CRASH_MARK, EngineCosts, EngineStats, FakeEngine, HANG_MARK, expected_answer};
-pub use fleet::{CUSTOMERS, DaemonProcess, Fleet, FleetSettings, Starter};
+pub use fleet::{
+    CUSTOMERS, DaemonProcess, Fleet, FleetSettings, Starter, free_address, start_process,
+};
 pub use history::{Event, EventLog, Violation, check};
 pub use platform::{CallCounts, FakePlatform, Faults};
 pub use random::Random;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -10,7 +10,7 @@
 
 use std::{
     collections::HashMap,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
@@ -20,7 +20,7 @@
 };
 
 use bytes::Bytes;
-use gg_fakes::Random;
+use gg_fakes::{Random, start_process};
 use gg_http::Client;
 use http::{Request, StatusCode};
 use support::{FakeReplica, FakeStore, Manner, Manners, deployment::configuration};
@@ -56,10 +56,8 @@
 
 impl Program {
     fn start(&mut self) {
-        let child = Command::new(env!("CARGO_BIN_EXE_greengageforkd"))
-            .arg(&self.settings)
-            .stdout(Stdio::null())
-            .spawn();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_greengageforkd"));
+        let child = start_process(command.arg(&self.settings).stdout(Stdio::null()));
         self.child = Some(child.expect("the program starts"));
     }
 
@@ -105,8 +103,7 @@
 }
 
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback port");
-    listener.local_addr().expect("bound address")
+    gg_fakes::free_address().parse().expect("an address")
 }
 
 impl Soak {
