--- a/crates/gg-ledger/tests/close.rs
+++ b/crates/gg-ledger/tests/close.rs
@@ -72,8 +72,7 @@
 }
 
 fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback port");
-    listener.local_addr().expect("bound address")
+    gg_fakes::free_address().parse().expect("an address")
 }
 
 fn layout(epoch: u64, members: &[&Instance]) -> Layout {
