--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -19,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admit,
+    admit, crash,
     freshness::{FRESH_TIME, Freshness},
     state::{State, lock},
 };
@@ -84,7 +84,7 @@
         if !heard.is_empty() {
             // What no instance names any more has expired.
             let all = heard.iter().flat_map(|one| &one.quarantined).copied();
-            *lock(&state.quarantine) = all.collect();
+            crash::take_quarantined(state, all.collect());
         }
         for heard in heard {
             admit::note_shared(state, heard.strains);
--- a/crates/gg-ledger/src/book.rs
+++ b/crates/gg-ledger/src/book.rs
@@ -41,7 +41,13 @@
                 let part = self.part(partition);
                 part.epoch = part.epoch.max(epoch);
             }
-            Line::Crash { content, upstream } => self.crashes.note(content, upstream, now),
+            Line::Crash { content, upstream } => {
+                let start = upstream.clone();
+                let crashes = self.crashes.note(content, upstream, now);
+                log::info!(
+                    "event=crash_learned content={content:016x} start={start} crashes={crashes}"
+                );
+            }
             line => self.part(partition).index.apply(line, now),
         }
     }
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -184,6 +184,13 @@
             let spent =
                 if is_close { self.spent(view, program, &request.key.turn).await? } else { most };
             if spent + tokens > budget {
+                log::info!(
+                    "event=budget_spent request={} program={program} spent={spent} most={tokens} \
+                     budget={budget} exact={is_close} partition={} epoch={}",
+                    request.key.turn,
+                    view.scope.partition,
+                    view.scope.epoch
+                );
                 self.settle(&request.key, 0);
                 return Err(LedgerError::BudgetSpent(spent));
             }
@@ -367,6 +374,8 @@
                 Err(_) => {}
             }
             if is_certain(&denied) {
+                let disks: Vec<String> = denied.iter().map(u64::to_string).collect();
+                log::info!("event=turn_denied turn={turn} disks={}", disks.join(","));
                 return Err(LedgerError::NoSuchTurn);
             }
         }
--- a/crates/gg-ledger/src/crashes.rs
+++ b/crates/gg-ledger/src/crashes.rs
@@ -34,15 +34,18 @@
 }
 
 impl Crashes {
-    /// Takes in that a start of a replica crashed while it ran a content.
-    pub fn note(&mut self, content: u64, upstream: Name, now: Instant) {
+    /// Takes in that a start of a replica crashed while it ran a content;
+    /// returns how many starts did.
+    pub fn note(&mut self, content: u64, upstream: Name, now: Instant) -> usize {
         let empty = || Content { upstreams: IndexSet::new(), at: now };
         let known = self.contents.entry(content).or_insert_with(empty);
         known.at = now;
         known.upstreams.insert(upstream);
+        let count = known.upstreams.len();
         if self.contents.len() > CONTENTS_MAX {
             self.contents.shift_remove_index(0);
         }
+        count
     }
 
     /// Contents that are not to be sent any more.
