Facts about crashes only grow: gateways keep them and exchange what is new

What callers saw: a content that was refused after three crashes was sent to replicas again, three times for each loss of knowledge, or without end while no ledger instance was there.

Cause: what must only grow was held as state that the last answer overwrites. A gateway replaced its set by what the one or two instances it asked last happened to know; a crash was told once, over the links of that moment, and instances never compared; the gateway that saw a crash did not believe itself until an instance said so; counts were forgotten an hour after the last crash although the content was still asked for and refused, and a full list dropped refused contents like any other.

Now Crashes (gg-ledger, a plain type) is a set of facts that gateways and ledger instances both keep. The questions for news that a gateway asks anyway carry what the instance has not confirmed and bring what the gateway has not heard; a number for each fact and the start of the instance's process say what that is, so with nothing new nothing is sent. A process that started again is told everything. Facts carry their age, so that no clock is compared. A content that is refused is told as such at most once in five minutes and stays refused an hour beyond that; when there are too many facts, those of contents that are not refused go first. Copies of a partition no longer carry crashes: gateways bring them.

--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -1,14 +1,15 @@
 //! Contains requests that crash the replicas that run them.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
+use gg_ledger::{Content, CrashFact};
 use gg_protocol::{Code, Failure};
 use gg_route::Deployment;
 use tokio::time;
 
 use crate::{
     replica::Replica,
-    state::{State, lock},
+    state::State,
     walk::{Job, hash},
 };
 
@@ -16,50 +17,41 @@
 /// listening; others take a new connection.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 
-/// When the client of a quarantined request may ask again, in ms.
+/// When the client of a refused request may ask again, in ms.
 const RETRY_MS: u64 = 60_000;
 
-/// Digest of what a request asks; requests that are alike crash replicas
-/// alike. None for those without a body, which are all alike on a path.
-fn content(job: &Job) -> Option<u64> {
-    if job.body.is_empty() {
-        return None;
-    }
+/// Digest of what a request is told by beside its body.
+fn head(job: &Job) -> u64 {
     let path = job.head.uri.path_and_query().map_or("", |path| path.as_str());
-    let start = hash(format!("{} {path}\n", job.head.method).as_bytes());
-    Some(start.rotate_left(1) ^ hash(&job.body))
+    hash(format!("{} {} {path}", job.head.method, job.route.host).as_bytes())
+}
+
+/// What a request asks. None for those without a body, which are all alike on
+/// a path.
+fn content(job: &Job) -> Option<Content> {
+    let body = (!job.body.is_empty()).then(|| hash(&job.body))?;
+    Some(Content { head: head(job), body })
 }
 
 /// Refuses requests like those that crashed replicas.
 pub(crate) fn check<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
-    // Digests cost time; mostly there is nothing to compare with.
-    if lock(&state.quarantine).is_empty() {
-        return Ok(());
-    }
-    let Some(content) = content(job) else { return Ok(()) };
-    if !lock(&state.quarantine).contains(&content) {
+    let has_head = {
+        let crashes = state.ledger.crashes();
+        !crashes.is_empty() && crashes.has_head(head(job))
+    };
+    let Some(content) = content(job).filter(|_| has_head) else { return Ok(()) };
+    if !state.ledger.crashes().is_refused(content) {
         return Ok(());
     }
-    log::info!("event=quarantine_refused request={} content={content:016x}", job.id());
+    log::info!("event=quarantine_refused request={} content={content}", job.id());
     state.metrics.count("quarantined", &[]);
+    state.ledger.note_refused(content);
     let message = "requests like this one crashed the replicas that ran them";
     Err(Failure::not_run(Code::Quarantined, message).retry_in(RETRY_MS))
 }
 
-/// Takes in the contents that ledger instances name.
-pub(crate) fn take_quarantined<D>(state: &State<D>, contents: HashSet<u64>) {
-    let mut quarantine = lock(&state.quarantine);
-    for content in contents.difference(&quarantine) {
-        log::warn!("event=quarantine_began content={content:016x}");
-    }
-    for content in quarantine.difference(&contents) {
-        log::warn!("event=quarantine_ended content={content:016x}");
-    }
-    *quarantine = contents;
-}
-
-/// A replica broke off while it had a request: if it has crashed, the ledger
-/// instances are told, which tell all gateways.
+/// A replica broke off while it had a request: if it has crashed, all gateways
+/// are to know.
 pub(crate) fn suspect<D: Deployment>(state: &Arc<State<D>>, job: &Job, replica: &Arc<Replica>) {
     let Some(content) = content(job) else {
         log::info!(
@@ -75,19 +67,19 @@
         let id = &replica.upstream.id;
         if replica.pool.connect().await.is_ok() {
             log::info!(
-                "event=crash_dismissed request={request} replica={} content={content:016x} \
+                "event=crash_dismissed request={request} replica={} content={content} \
                  reason=listens",
                 id.name
             );
             return;
         }
         log::warn!(
-            "event=crash_suspected request={request} replica={} born={} content={content:016x}",
+            "event=crash_suspected request={request} replica={} born={} content={content}",
             id.name,
             id.born_ms
         );
         state.metrics.count("crashes_suspected", &[]);
-        let start = format!("{}/{}", id.name, id.born_ms);
-        state.ledger.report_crash(content, start.as_str().into());
+        let start = format!("{}/{}", id.name, id.born_ms).as_str().into();
+        state.ledger.note_crash(CrashFact::Crashed { content, start });
     });
 }
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -19,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admit, crash,
+    admit,
     freshness::{FRESH_TIME, Freshness},
     state::{State, lock},
 };
@@ -81,11 +81,6 @@
             kinds.iter().map(|followed| (followed.kind, *lock(&followed.revision))).collect();
         let strains = admit::strains(state);
         let heard = state.ledger.news(&known, &strains).await;
-        if !heard.is_empty() {
-            // What no instance names any more has expired.
-            let all = heard.iter().flat_map(|one| &one.quarantined).copied();
-            crash::take_quarantined(state, all.collect());
-        }
         for heard in heard {
             admit::note_shared(state, heard.strains);
             for news in heard.news {
@@ -103,6 +98,7 @@
     loop {
         time::sleep(SWEEP_INTERVAL).await;
         state.fleet.sweep();
+        state.ledger.crashes().expire(Instant::now());
     }
 }
 
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! What the parts of a gateway share.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, RwLock,
         atomic::{AtomicBool, Ordering},
@@ -39,8 +39,6 @@
     pub(crate) hedges: Mutex<RetryBudget>,
     /// Whether new work is let in, by service.
     pub(crate) admissions: Mutex<HashMap<Name, Admission>>,
-    /// Digests of requests that crash replicas.
-    pub(crate) quarantine: Mutex<HashSet<u64>>,
     table: RwLock<Option<Arc<RouteTable>>>,
     is_stopping: AtomicBool,
 }
@@ -55,7 +53,6 @@
             ledger,
             fleet: Fleet::default(),
             admissions: Mutex::default(),
-            quarantine: Mutex::default(),
             table: RwLock::default(),
             is_stopping: AtomicBool::new(false),
         }
--- a/crates/gg-ledger/src/book.rs
+++ b/crates/gg-ledger/src/book.rs
@@ -41,12 +41,9 @@
                 let part = self.part(partition);
                 part.epoch = part.epoch.max(epoch);
             }
-            Line::Crash { content, upstream } => {
-                let start = upstream.clone();
-                let crashes = self.crashes.note(content, upstream, now);
-                log::info!(
-                    "event=crash_learned content={content:016x} start={start} crashes={crashes}"
-                );
+            Line::Crash { .. } => {}
+            Line::Fact(fact) => {
+                self.crashes.learn(&fact, Duration::ZERO, now);
             }
             line => self.part(partition).index.apply(line, now),
         }
@@ -61,9 +58,9 @@
         &mut self.part(partition).index
     }
 
-    /// Contents that crashed replicas.
-    pub(crate) fn crashes(&self) -> &Crashes {
-        &self.crashes
+    /// Requests that crash replicas.
+    pub(crate) fn crashes(&mut self) -> &mut Crashes {
+        &mut self.crashes
     }
 
     /// Epoch below which calls to a partition are refused.
@@ -129,12 +126,9 @@
         })
     }
 
-    /// All lines of a partition, and the crashes, which an instance that
-    /// copies it may not know.
+    /// All lines of a partition.
     pub(crate) fn lines(&self, partition: u16) -> Vec<Line> {
-        let mut lines = self.crashes.lines();
-        lines.extend(self.parts.get(&partition).into_iter().flat_map(|part| part.index.lines()));
-        lines
+        self.parts.get(&partition).map(|part| part.index.lines()).unwrap_or_default()
     }
 
     /// All lines, as a log written anew holds them.
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Chain, Layout, LedgerError, TurnRecord,
+    Chain, Crashes, Layout, LedgerError, TurnRecord,
     index::Spent,
     link::{Link, Scope},
     links::Links,
@@ -92,6 +92,7 @@
     /// Clients as last heard of; 0 if not heard of.
     pub(crate) clients: AtomicU32,
     pub(crate) state: Mutex<State>,
+    pub(crate) crashes: Mutex<Crashes>,
 }
 
 #[derive(Debug)]
@@ -105,7 +106,13 @@
     /// is cancelled.
     pub fn new(client: Name, centre: Name, stop: CancellationToken) -> Self {
         let state = State { layout: Arc::default(), links: Links::new(None, stop) };
-        Ledger { client, centre, clients: AtomicU32::new(0), state: Mutex::new(state) }
+        Ledger {
+            client,
+            centre,
+            clients: AtomicU32::new(0),
+            state: Mutex::new(state),
+            crashes: Mutex::default(),
+        }
     }
 
     /// Takes in a layout; one that is newer in no partition changes nothing.
--- a/crates/gg-ledger/src/crashes.rs
+++ b/crates/gg-ledger/src/crashes.rs
@@ -1,10 +1,16 @@
-//! Contents that were under way when replicas crashed. A plain type; the log
-//! feeds it, so that counts outlive restarts.
+//! What is known of requests that crash replicas: facts that gateways see and
+//! ledger instances keep. Facts are only ever added, so two sets of them are
+//! put together by taking in all of both, in any order and as often as one
+//! likes, and no answer of one instance takes back what another one told.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::{BTreeMap, HashSet},
+    fmt,
+    time::{Duration, Instant},
+};
 
 use gg_protocol::Name;
-use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 
 use crate::Line;
 
@@ -12,61 +18,226 @@
 /// could stop requests that only ran beside the one that crashes replicas.
 const CRASHES_MAX: usize = 3;
 
-/// A content is remembered for this long after its last crash.
+/// A fact is remembered for this long.
 const KEEP_TIME: Duration = Duration::from_secs(3_600);
 
-/// Contents that are remembered; crashes of many replicas at once name all
-/// that ran there.
-const CONTENTS_MAX: usize = 4_096;
+/// Facts that are remembered; a crash names all contents that ran there.
+const FACTS_MAX: usize = 16_384;
 
-/// Crashes by content.
-#[derive(Clone, Debug, Default)]
-pub struct Crashes {
-    contents: IndexMap<u64, Content>,
+/// Part of the facts that goes when there are too many.
+const EVICTED_SHARE: usize = 8;
+
+/// A fact that is told again counts as new only if it is younger than the
+/// known one by more than this: ages grow by the time that a message is on
+/// its way.
+const RENEWAL_MIN: Duration = Duration::from_secs(2);
+
+/// The same for a content that is refused again and again: it is told that
+/// often at most.
+const REFUSED_RENEWAL: Duration = Duration::from_secs(300);
+
+/// Facts in one message.
+const MESSAGE_MAX: usize = 512;
+
+/// What a request asks, as digests; requests that are alike crash replicas
+/// alike.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Content {
+    /// Digest of method, host and path.
+    pub head: u64,
+    /// Digest of the body.
+    pub body: u64,
 }
 
-#[derive(Clone, Debug)]
-struct Content {
-    /// Starts of replicas that crashed, each counted once however many
-    /// gateways tell of it.
-    upstreams: IndexSet<Name>,
+impl fmt::Display for Content {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}.{:016x}", self.head, self.body)
+    }
+}
+
+/// A fact about crashes.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum CrashFact {
+    /// A start of a replica crashed while it ran a content.
+    Crashed {
+        /// The content.
+        content: Content,
+        /// Start of the replica.
+        start: Name,
+    },
+    /// A content was refused, so it is still asked for.
+    Refused {
+        /// The content.
+        content: Content,
+    },
+}
+
+impl CrashFact {
+    /// The content that the fact is about.
+    pub fn content(&self) -> Content {
+        match self {
+            CrashFact::Crashed { content, .. } | CrashFact::Refused { content } => *content,
+        }
+    }
+}
+
+/// A fact on its way to another process, whose clock differs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgedFact {
+    /// The fact.
+    pub fact: CrashFact,
+    /// Time since it came about, in ms.
+    pub age_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stamp {
     at: Instant,
+    /// Position in the order in which this set learned its facts.
+    serial: u64,
+}
+
+/// A set of facts.
+#[derive(Clone, Debug, Default)]
+pub struct Crashes {
+    facts: BTreeMap<CrashFact, Stamp>,
+    /// Serial of the newest fact.
+    last: u64,
 }
 
 impl Crashes {
-    /// Takes in that a start of a replica crashed while it ran a content;
-    /// returns how many starts did.
-    pub fn note(&mut self, content: u64, upstream: Name, now: Instant) -> usize {
-        let empty = || Content { upstreams: IndexSet::new(), at: now };
-        let known = self.contents.entry(content).or_insert_with(empty);
-        known.at = now;
-        known.upstreams.insert(upstream);
-        let count = known.upstreams.len();
-        if self.contents.len() > CONTENTS_MAX {
-            self.contents.shift_remove_index(0);
+    /// Takes in a fact of `age`; returns whether it was new.
+    pub fn learn(&mut self, fact: &CrashFact, age: Duration, now: Instant) -> bool {
+        let Some(at) = now.checked_sub(age).filter(|_| age < KEEP_TIME) else { return false };
+        let renewal = match fact {
+            CrashFact::Refused { .. } => REFUSED_RENEWAL,
+            _ => RENEWAL_MIN,
+        };
+        if self.facts.get(fact).is_some_and(|known| at <= known.at + renewal) {
+            return false;
         }
-        count
+        self.last += 1;
+        self.facts.insert(fact.clone(), Stamp { at, serial: self.last });
+        if self.facts.len() > FACTS_MAX {
+            self.evict();
+        }
+        true
     }
 
-    /// Contents that are not to be sent any more.
-    pub fn quarantined(&self) -> Vec<u64> {
-        let contents = self.contents.iter();
-        let crashing = contents.filter(|(_, known)| known.upstreams.len() >= CRASHES_MAX);
-        crashing.map(|(content, _)| *content).collect()
+    /// Takes in facts of another set; returns those that were new.
+    pub fn merge(&mut self, facts: &[AgedFact], now: Instant) -> Vec<CrashFact> {
+        let new = facts
+            .iter()
+            .filter(|aged| self.learn(&aged.fact, Duration::from_millis(aged.age_ms), now));
+        new.map(|aged| aged.fact.clone()).collect()
+    }
+
+    /// Facts learned after the one numbered `serial`, oldest first, as many as
+    /// fit into a message, and the number of the last of them.
+    pub fn since(&self, serial: u64, now: Instant) -> (Vec<AgedFact>, u64) {
+        if serial >= self.last {
+            return (Vec::new(), self.last);
+        }
+        let mut newer: Vec<(&CrashFact, &Stamp)> =
+            self.facts.iter().filter(|(_, stamp)| stamp.serial > serial).collect();
+        newer.sort_unstable_by_key(|(_, stamp)| stamp.serial);
+        let last = match newer.get(MESSAGE_MAX - 1) {
+            Some((_, stamp)) => stamp.serial,
+            None => self.last,
+        };
+        newer.truncate(MESSAGE_MAX);
+        let aged = newer.into_iter().map(|(fact, stamp)| {
+            let age = now.saturating_duration_since(stamp.at);
+            AgedFact { fact: fact.clone(), age_ms: age.as_millis() as u64 }
+        });
+        (aged.collect(), last)
+    }
+
+    /// Starts of replicas that crashed while they ran a content.
+    pub fn count(&self, content: Content) -> usize {
+        self.crashed(content).count()
+    }
+
+    /// Whether a content is not to be sent any more.
+    pub fn is_refused(&self, content: Content) -> bool {
+        self.count(content) >= CRASHES_MAX
+    }
+
+    /// Whether any content with this head crashed a replica. Heads are short,
+    /// so that bodies need not be looked at for nothing.
+    pub fn has_head(&self, head: u64) -> bool {
+        let from = lowest(Content { head, body: 0 });
+        let next = self.facts.range(from..).next();
+        matches!(next, Some((CrashFact::Crashed { content, .. }, _)) if content.head == head)
+    }
+
+    /// Number of facts.
+    pub fn len(&self) -> usize {
+        self.facts.len()
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.facts.is_empty()
     }
 
     /// Lines that bring all of this back.
     pub fn lines(&self) -> Vec<Line> {
-        let each = |(content, known): (&u64, &Content)| {
-            let content = *content;
-            let upstreams = known.upstreams.clone().into_iter();
-            upstreams.map(move |upstream| Line::Crash { content, upstream })
-        };
-        self.contents.iter().flat_map(each).collect()
+        self.facts.keys().map(|fact| Line::Fact(fact.clone())).collect()
     }
 
-    /// Drops what is old.
+    /// Drops what is old. Crashes stay while their content is asked for.
     pub fn expire(&mut self, now: Instant) {
-        self.contents.retain(|_, known| now.saturating_duration_since(known.at) < KEEP_TIME);
+        let is_old = |stamp: &Stamp| now.saturating_duration_since(stamp.at) >= KEEP_TIME;
+        let asked: HashSet<Content> = self
+            .facts
+            .iter()
+            .filter(|(fact, stamp)| matches!(fact, CrashFact::Refused { .. }) && !is_old(stamp))
+            .map(|(fact, _)| fact.content())
+            .collect();
+        self.facts.retain(|fact, stamp| !is_old(stamp) || asked.contains(&fact.content()));
+    }
+
+    fn crashed(&self, content: Content) -> impl Iterator<Item = &CrashFact> {
+        let facts = self.facts.range(lowest(content)..).map(|(fact, _)| fact);
+        facts.take_while(move |fact| {
+            matches!(fact, CrashFact::Crashed { content: known, .. } if *known == content)
+        })
+    }
+
+    /// Makes room: contents that are not refused go first, oldest first.
+    fn evict(&mut self) {
+        let mut order: Vec<(bool, Instant, CrashFact)> = self
+            .facts
+            .iter()
+            .map(|(fact, stamp)| (self.is_refused(fact.content()), stamp.at, fact.clone()))
+            .collect();
+        order.sort_unstable();
+        for (_, _, fact) in order.into_iter().take(FACTS_MAX / EVICTED_SHARE) {
+            self.facts.remove(&fact);
+        }
+    }
+}
+
+/// The first fact in the order that tells of a content's crash.
+fn lowest(content: Content) -> CrashFact {
+    CrashFact::Crashed { content, start: "".into() }
+}
+
+/// Logs a fact that a set has just learned.
+pub(crate) fn log_learned(crashes: &Crashes, fact: &CrashFact, from: &str) {
+    let content = fact.content();
+    let count = crashes.count(content);
+    let is_refused = crashes.is_refused(content);
+    match fact {
+        CrashFact::Crashed { start, .. } => log::warn!(
+            "event=crash_learned content={content} start={start} crashes={count} \
+             refused={is_refused} from={from}"
+        ),
+        CrashFact::Refused { .. } => {
+            log::info!("event=refusal_learned content={content} crashes={count} from={from}");
+        }
     }
 }
--- a/crates/gg-ledger/src/entry.rs
+++ b/crates/gg-ledger/src/entry.rs
@@ -4,6 +4,8 @@
 use gg_protocol::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::CrashFact;
+
 /// A finished turn.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TurnRecord {
@@ -47,13 +49,16 @@
     Forget,
     /// Nothing of an older epoch is acknowledged after this line.
     Epoch(u64),
-    /// A replica crashed while it ran a request.
+    /// A crash as earlier versions kept it. Their digests can't be compared
+    /// with today's, so it is passed over.
     Crash {
         /// Digest of the request.
         content: u64,
         /// Start of the replica.
         upstream: Name,
     },
+    /// A fact about requests that crash replicas; belongs to no partition.
+    Fact(CrashFact),
 }
 
 /// A line and the partition that it belongs to.
--- a/crates/gg-ledger/src/index.rs
+++ b/crates/gg-ledger/src/index.rs
@@ -82,7 +82,7 @@
                 self.keep = self.keep.max(Duration::from_millis(record.keep_ms.into()));
                 self.turns.insert(record.turn.clone(), Kept { record, used: now });
             }
-            Line::Epoch(_) | Line::Forget | Line::Crash { .. } => {}
+            Line::Epoch(_) | Line::Forget | Line::Crash { .. } | Line::Fact(_) => {}
         }
     }
 
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -29,7 +29,7 @@
 
 pub use askers::{Askers, Strains};
 pub use client::{Ledger, OpenRequest, Opened, TurnKey};
-pub use crashes::Crashes;
+pub use crashes::{AgedFact, Content, CrashFact, Crashes};
 pub use entry::{Line, Placed, TurnRecord};
 pub use error::LedgerError;
 pub use index::{Chain, Index};
--- a/crates/gg-ledger/src/link.rs
+++ b/crates/gg-ledger/src/link.rs
@@ -58,6 +58,17 @@
     pub(crate) epoch: u64,
 }
 
+/// How far a client and an instance know what the other one knows of crashes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct CrashCursor {
+    /// Start of the instance's process.
+    pub(crate) run: u64,
+    /// Number of its last fact that was heard.
+    pub(crate) heard: u64,
+    /// Number of our last fact that it has taken in.
+    pub(crate) told: u64,
+}
+
 /// A link to one member; reconnects while it lives.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -72,6 +83,7 @@
     next: AtomicU64,
     calls: mpsc::Sender<Bytes>,
     pending: Mutex<HashMap<u64, Pending>>,
+    cursor: Mutex<CrashCursor>,
 }
 
 #[derive(Debug)]
@@ -93,6 +105,7 @@
             next: AtomicU64::new(1),
             calls,
             pending: Mutex::default(),
+            cursor: Mutex::default(),
         };
         (link, queued)
     }
@@ -130,6 +143,15 @@
         }
     }
 
+    /// How far crashes were exchanged.
+    pub(crate) fn cursor(&self) -> CrashCursor {
+        *lock(&self.cursor)
+    }
+
+    pub(crate) fn set_cursor(&self, cursor: CrashCursor) {
+        *lock(&self.cursor) = cursor;
+    }
+
     /// Time since the instance last answered, or since the link was made.
     pub(crate) fn silence(&self) -> Duration {
         lock(&self.heard).elapsed()
--- a/crates/gg-ledger/src/news.rs
+++ b/crates/gg-ledger/src/news.rs
@@ -2,21 +2,21 @@
 //! answers fare at other clients, requests that crash replicas.
 
 use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
+    sync::{Arc, MutexGuard, atomic::Ordering},
+    time::{Duration, Instant},
 };
 
 use futures::future::join_all;
 use gg_platform::{Kind, MirrorNews};
-use gg_protocol::Name;
 use rand::seq::SliceRandom;
 use tokio::time;
 
 use crate::{
-    Ledger, Strains,
-    link::{Link, Scope},
+    AgedFact, Content, CrashFact, Crashes, Ledger, Strains,
+    crashes::log_learned,
+    link::{CrashCursor, Link, Scope},
     node::lock,
-    protocol::{Answer, Ask},
+    protocol::{Answer, Ask, CrashNews},
 };
 
 /// Longest wait for an instance's news.
@@ -34,8 +34,6 @@
     pub clients: u32,
     /// How the answers fare that these pass on.
     pub strains: Strains,
-    /// Digests of requests that crash replicas.
-    pub quarantined: Vec<u64>,
 }
 
 impl Ledger {
@@ -50,14 +48,17 @@
     /// answers fare that are passed on here.
     pub async fn news(&self, known: &[(Kind, u64)], strains: &Strains) -> Vec<Heard> {
         let calls = self.news_sources().into_iter().map(async |link| {
+            let (crashes, told) = self.crash_news(&link);
             let ask = Ask::News {
                 from: self.client.clone(),
                 known: known.to_vec(),
                 strains: strains.clone(),
+                crashes,
             };
             match time::timeout(NEWS_TIMEOUT, link.call(NO_PARTITION, ask)).await {
-                Ok(Ok(Answer::News { news, askers, strains, quarantined })) => {
-                    Some(Heard { news, clients: askers, strains, quarantined })
+                Ok(Ok(Answer::News { news, askers, strains, crashes })) => {
+                    self.take_crash_news(&link, told, &crashes);
+                    Some(Heard { news, clients: askers, strains })
                 }
                 _ => None,
             }
@@ -85,11 +86,50 @@
             .collect()
     }
 
-    /// Tells all instances that a start of a replica crashed while it ran a
-    /// request.
-    pub fn report_crash(&self, content: u64, upstream: Name) {
+    /// What is known of crashes here.
+    pub fn crashes(&self) -> MutexGuard<'_, Crashes> {
+        lock(&self.crashes)
+    }
+
+    /// Takes in a fact about crashes that was just seen here, and tells it to
+    /// all instances that are connected. What does not arrive is told with the
+    /// news until it does.
+    pub fn note_crash(&self, fact: CrashFact) {
+        {
+            let mut crashes = self.crashes();
+            if !crashes.learn(&fact, Duration::ZERO, Instant::now()) {
+                return;
+            }
+            log_learned(&crashes, &fact, "here");
+        }
         for link in lock(&self.state).links.all() {
-            link.tell(NO_PARTITION, Ask::Crash { content, upstream: upstream.clone() });
+            link.tell(NO_PARTITION, Ask::Crash(AgedFact { fact: fact.clone(), age_ms: 0 }));
+        }
+    }
+
+    /// Takes in that a content was refused here; told with the news.
+    pub fn note_refused(&self, content: Content) {
+        let mut crashes = self.crashes();
+        crashes.learn(&CrashFact::Refused { content }, Duration::ZERO, Instant::now());
+    }
+
+    /// What an instance is to hear of crashes, and the number of the last fact
+    /// of that.
+    fn crash_news(&self, link: &Link) -> (CrashNews, u64) {
+        let cursor = link.cursor();
+        let (facts, told) = self.crashes().since(cursor.told, Instant::now());
+        (CrashNews { run: cursor.run, last: cursor.heard, facts }, told)
+    }
+
+    /// Takes in what an instance knows of crashes; it knows ours up to `told`
+    /// now. An instance that has started again since may not know earlier ones.
+    fn take_crash_news(&self, link: &Link, told: u64, news: &CrashNews) {
+        let is_new = link.cursor().run != news.run;
+        let told = if is_new { 0 } else { told };
+        link.set_cursor(CrashCursor { run: news.run, heard: news.last, told });
+        let mut crashes = self.crashes();
+        for fact in crashes.merge(&news.facts, Instant::now()) {
+            log_learned(&crashes, &fact, &link.member.instance);
         }
     }
 }
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -20,9 +20,11 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Askers, Layout, LedgerSet, Line, LogFile, LogSettings, Placed, Strains,
-    book::Book,
+    AgedFact, Askers, Layout, LedgerSet, Line, LogFile, LogSettings, Placed, Strains,
+    book::{Book, CRASHES_PLACE},
+    crashes::log_learned,
     log_file::encode_line,
+    protocol::CrashNews,
     pull::{self, PullError},
     serve,
 };
@@ -75,6 +77,8 @@
 #[derive(Debug)]
 struct Shared {
     disk: u64,
+    /// Drawn at each start.
+    run: u64,
     book: Mutex<Book>,
     /// Copy of the directory for the gateways.
     mirror: Mutex<Mirror>,
@@ -121,6 +125,7 @@
         let (commits, waiting) = mpsc::channel(COMMITS_MAX);
         let shared = Shared {
             disk: recovered.disk,
+            run: rand::random(),
             book: Mutex::new(book),
             mirror: Mutex::default(),
             askers: Mutex::default(),
@@ -168,6 +173,31 @@
         (askers.note(name.clone(), strains, now), askers.strains(&name, now))
     }
 
+    /// Takes in what a client knows of crashes and returns what it may not.
+    pub(crate) fn share_crashes(&self, from: &str, told: CrashNews) -> CrashNews {
+        self.learn_crashes(from, &told.facts);
+        let run = self.shared.run;
+        let heard = if told.run == run { told.last } else { 0 };
+        let (facts, last) = self.book().crashes().since(heard, Instant::now());
+        CrashNews { run, last, facts }
+    }
+
+    /// Takes in facts about crashes and keeps those that are new.
+    pub(crate) fn learn_crashes(&self, from: &str, facts: &[AgedFact]) {
+        if facts.is_empty() {
+            return;
+        }
+        let new = {
+            let mut book = self.book();
+            let crashes = book.crashes();
+            let new = crashes.merge(facts, Instant::now());
+            new.iter().for_each(|fact| log_learned(crashes, fact, from));
+            new
+        };
+        let lines: Vec<_> = new.into_iter().map(|fact| (CRASHES_PLACE, Line::Fact(fact))).collect();
+        self.enqueue(&lines);
+    }
+
     /// Takes in a layout; one that is newer in no partition changes nothing.
     pub fn set_layout(&self, layout: Layout) {
         let lines = {
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -16,13 +16,26 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::{
-    Layout, Line, Strains, TurnRecord,
+    AgedFact, Layout, Line, Strains, TurnRecord,
     index::{Chain, Spent},
 };
 
 /// Largest frame, in bytes; a chain of 280,000 tokens fits.
 const FRAME_MAX_BYTES: usize = 16 << 20;
 
+/// What one process tells another one of crashes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct CrashNews {
+    /// Start of the instance's process that numbers are counted in: in a call
+    /// the one that the client has heard last.
+    pub(crate) run: u64,
+    /// In a call, the number of the last fact heard from the instance; in an
+    /// answer, that of the last one told.
+    pub(crate) last: u64,
+    /// Facts.
+    pub(crate) facts: Vec<AgedFact>,
+}
+
 /// A call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Request {
@@ -80,14 +93,11 @@
         known: Vec<(Kind, u64)>,
         /// How the answers that it passes on fare.
         strains: Strains,
+        /// What it knows of crashes that the instance may not know.
+        crashes: CrashNews,
     },
-    /// A replica crashed while it ran a request; told to all instances.
-    Crash {
-        /// Digest of the request.
-        content: u64,
-        /// Start of the replica.
-        upstream: Name,
-    },
+    /// Take in what a client has just seen of crashes; told to all instances.
+    Crash(AgedFact),
     /// Tell how far the partition is copied.
     Status,
     /// Send everything of the partition, as [`Answer::Part`]s.
@@ -129,8 +139,8 @@
         askers: u32,
         /// How the answers that these pass on fare.
         strains: Strains,
-        /// Digests of requests that crash replicas.
-        quarantined: Vec<u64>,
+        /// What it knows of crashes that the client may not know.
+        crashes: CrashNews,
     },
     /// Reply to [`Ask::Status`].
     Status {
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -18,7 +18,6 @@
 
 use crate::{
     Line, Node, TurnRecord,
-    book::CRASHES_PLACE,
     index::Chain,
     protocol::{Answer, Ask, FrameWriter, Reply, Request, codec, decode, encode, write_frames},
     pull,
@@ -108,17 +107,13 @@
             send(replies, id, Answer::Fetched(chain)).await;
         }
         Ask::Ping => send(replies, id, Answer::Here).await,
-        Ask::News { from, known, strains } => {
+        Ask::News { from, known, strains, crashes } => {
             let news = node.mirror().news(&known);
-            let (askers, strains) = node.note_asker(from, strains);
-            let quarantined = node.book().crashes().quarantined();
-            send(replies, id, Answer::News { news, askers, strains, quarantined }).await;
-        }
-        Ask::Crash { content, upstream } => {
-            let line = [(CRASHES_PLACE, Line::Crash { content, upstream })];
-            node.apply(&line);
-            node.enqueue(&line);
+            let (askers, strains) = node.note_asker(from.clone(), strains);
+            let crashes = node.share_crashes(&from, crashes);
+            send(replies, id, Answer::News { news, askers, strains, crashes }).await;
         }
+        Ask::Crash(fact) => node.learn_crashes("-", &[fact]),
         Ask::Status => {
             let copied = node.book().copied(partition);
             send(replies, id, Answer::Status { copied }).await;
@@ -139,7 +134,7 @@
     }
     let mut book = node.book();
     let is_stale = match &request.ask {
-        Ask::Ping | Ask::News { .. } | Ask::Crash { .. } => false,
+        Ask::Ping | Ask::News { .. } | Ask::Crash(_) => false,
         Ask::Find { epochs, .. } => book.is_ahead_of(epochs),
         _ => request.epoch < book.epoch(request.partition),
     };
@@ -147,7 +142,7 @@
         return Some(Answer::Stale(book.layout().clone()));
     }
     let is_of_none =
-        matches!(request.ask, Ask::Ping | Ask::News { .. } | Ask::Crash { .. } | Ask::Find { .. });
+        matches!(request.ask, Ask::Ping | Ask::News { .. } | Ask::Crash(_) | Ask::Find { .. });
     if is_of_none {
         return None;
     }
--- /dev/null
+++ b/crates/gg-ledger/tests/crashes.rs
@@ -0,0 +1,159 @@
+//! Facts about requests that crash replicas.
+
+use std::time::{Duration, Instant};
+
+use gg_ledger::{AgedFact, Content, CrashFact, Crashes};
+use proptest::prelude::*;
+
+const HOUR: Duration = Duration::from_secs(3_600);
+
+fn content(head: u64) -> Content {
+    Content { head, body: 1 }
+}
+
+fn crashed(head: u64, start: u64) -> CrashFact {
+    CrashFact::Crashed { content: content(head), start: format!("r/{start}").as_str().into() }
+}
+
+fn aged(fact: &CrashFact, age_ms: u64) -> AgedFact {
+    AgedFact { fact: fact.clone(), age_ms }
+}
+
+/// Tells `to` all that `from` knows.
+fn tell(from: &Crashes, to: &mut Crashes, now: Instant) {
+    to.merge(&from.since(0, now).0, now);
+}
+
+#[test]
+fn three_starts_count() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    for start in [1, 2, 2, 1] {
+        crashes.learn(&crashed(7, start), Duration::ZERO, now);
+    }
+    assert!(!crashes.is_refused(content(7)), "two starts");
+    crashes.learn(&crashed(7, 3), Duration::ZERO, now);
+    assert!(crashes.is_refused(content(7)));
+    assert!(crashes.has_head(7) && !crashes.has_head(6) && !crashes.has_head(8));
+}
+
+/// Two sets that tell each other of news fall silent, although ages grow with
+/// each message.
+#[test]
+fn exchange_ends() {
+    let mut now = Instant::now();
+    let (mut one, mut other) = (Crashes::default(), Crashes::default());
+    one.learn(&crashed(1, 1), Duration::ZERO, now);
+    other.learn(&crashed(1, 2), Duration::ZERO, now);
+    let (mut of_one, mut of_other) = (0, 0);
+    for round in 0..6 {
+        now += Duration::from_millis(300);
+        let (facts, last) = one.since(of_one, now);
+        of_one = last;
+        other.merge(&facts, now + Duration::from_millis(40));
+        let (back, last) = other.since(of_other, now);
+        of_other = last;
+        one.merge(&back, now + Duration::from_millis(40));
+        assert!(round < 3 || (facts.is_empty() && back.is_empty()), "round {round}: {facts:?}");
+    }
+    assert_eq!((one.count(content(1)), other.count(content(1))), (2, 2));
+}
+
+/// More facts than fit into a message arrive with the next ones.
+#[test]
+fn messages_are_bounded() {
+    let now = Instant::now();
+    let (mut from, mut to) = (Crashes::default(), Crashes::default());
+    (0..2_000).for_each(|start| {
+        from.learn(&crashed(start % 400, start), Duration::ZERO, now);
+    });
+    let mut last = 0;
+    while to.len() < 2_000 {
+        let (facts, next) = from.since(last, now);
+        assert!(facts.len() <= 512 && next > last);
+        to.merge(&facts, now);
+        last = next;
+    }
+}
+
+/// A refused content stays refused while it is asked for, and is forgotten an
+/// hour after that.
+#[test]
+fn asked_for_is_kept() {
+    let start = Instant::now();
+    let mut crashes = Crashes::default();
+    (0..3).for_each(|upstream| {
+        crashes.learn(&crashed(1, upstream), Duration::ZERO, start);
+    });
+    let mut now = start;
+    for _ in 0..30 {
+        now += HOUR / 10;
+        crashes.learn(&CrashFact::Refused { content: content(1) }, Duration::ZERO, now);
+        crashes.expire(now);
+        assert!(crashes.is_refused(content(1)));
+    }
+    crashes.expire(now + HOUR);
+    assert!(crashes.is_empty());
+}
+
+/// When there are too many, contents that are refused stay.
+#[test]
+fn refused_outlast_others() {
+    let start = Instant::now();
+    let mut crashes = Crashes::default();
+    (0..3).for_each(|upstream| {
+        crashes.learn(&crashed(1, upstream), Duration::ZERO, start);
+    });
+    for number in 0..40_000_u64 {
+        let now = start + Duration::from_millis(number);
+        crashes.learn(&crashed(number + 2, 1), Duration::ZERO, now);
+    }
+    assert!(crashes.len() <= 16_384);
+    assert!(crashes.is_refused(content(1)));
+}
+
+proptest! {
+    /// Whatever order facts come in, through whichever sets and however often,
+    /// all sets end with the same counts, and none ever goes down.
+    #[test]
+    fn only_grows(told in prop::collection::vec((0..3_usize, 0..3_u64, 0..5_u64), 1..40),
+                  exchanges in prop::collection::vec((0..3_usize, 0..3_usize), 0..40)) {
+        let now = Instant::now();
+        let mut sets = vec![Crashes::default(); 3];
+        let mut exchanges = exchanges.into_iter();
+        for (set, head, start) in &told {
+            sets[*set].learn(&crashed(*head, *start), Duration::ZERO, now);
+            if let Some((from, to)) = exchanges.next() {
+                let before: Vec<usize> = (0..3).map(|head| sets[to].count(content(head))).collect();
+                let teller = sets[from].clone();
+                tell(&teller, &mut sets[to], now);
+                for (head, before) in (0..3).zip(before) {
+                    prop_assert!(sets[to].count(content(head)) >= before);
+                }
+            }
+        }
+        for _ in 0..2 {
+            for (from, to) in [(0, 1), (1, 2), (2, 0)] {
+                let teller = sets[from].clone();
+                tell(&teller, &mut sets[to], now);
+            }
+        }
+        for head in 0..3 {
+            let mut starts: Vec<u64> =
+                told.iter().filter(|(_, of, _)| *of == head).map(|(_, _, start)| *start).collect();
+            starts.sort_unstable();
+            starts.dedup();
+            for set in &sets {
+                prop_assert_eq!(set.count(content(head)), starts.len());
+            }
+        }
+    }
+}
+
+#[test]
+fn old_news_is_none() {
+    let now = Instant::now() + HOUR * 2;
+    let mut crashes = Crashes::default();
+    crashes.merge(&[aged(&crashed(1, 1), HOUR.as_millis() as u64)], now);
+    assert!(crashes.is_empty(), "what has expired elsewhere does not come back");
+}
