Requests that crash replicas are told by path, caller and body, also without a body

Cause: such requests had no digest, for fear that they are all alike on a path, since the caller was left out of the digest. The users tell requests by path, caller and body.

Three crashes of one caller's content stop that caller's; crashes of the same path and body from several callers stop it for all, as a caller may come by another way.

The digest of the path is looked up first, so that a body is digested only where its path has crashed a replica.

--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use gg_http::Peer;
 use gg_ledger::{Content, CrashFact};
 use gg_protocol::{Code, Failure};
 use gg_route::Deployment;
@@ -26,11 +27,11 @@
     hash(format!("{} {} {path}", job.head.method, job.route.host).as_bytes())
 }
 
-/// What a request asks. None for those without a body, which are all alike on
-/// a path.
-fn content(job: &Job) -> Option<Content> {
-    let body = (!job.body.is_empty()).then(|| hash(&job.body))?;
-    Some(Content { head: head(job), body })
+/// What a request asks, and who does.
+fn content(job: &Job) -> Content {
+    let peer = job.head.extensions.get::<Peer>();
+    let caller = peer.map_or(0, |peer| hash(peer.0.to_string().as_bytes()));
+    Content { head: head(job), body: hash(&job.body), caller }
 }
 
 /// Refuses requests like those that crashed replicas.
@@ -39,7 +40,10 @@
         let crashes = state.ledger.crashes();
         !crashes.is_empty() && crashes.has_head(head(job))
     };
-    let Some(content) = content(job).filter(|_| has_head) else { return Ok(()) };
+    if !has_head {
+        return Ok(());
+    }
+    let content = content(job);
     if !state.ledger.crashes().is_refused(content) {
         return Ok(());
     }
@@ -53,14 +57,7 @@
 /// A replica broke off while it had a request: if it has crashed, all gateways
 /// are to know.
 pub(crate) fn suspect<D: Deployment>(state: &Arc<State<D>>, job: &Job, replica: &Arc<Replica>) {
-    let Some(content) = content(job) else {
-        log::info!(
-            "event=crash_not_examined request={} replica={} reason=no_body",
-            job.id(),
-            replica.upstream.id.name
-        );
-        return;
-    };
+    let content = content(job);
     let (state, replica, request) = (state.clone(), replica.clone(), job.id().clone());
     tokio::spawn(async move {
         time::sleep(CHECK_DELAY).await;
--- a/crates/gg-http/src/server.rs
+++ b/crates/gg-http/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP listener with limits and graceful stop.
 
-use std::{convert::Infallible, pin::pin, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::IpAddr, pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
@@ -22,6 +22,10 @@
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
+/// Where a request's connection comes from; an extension of each request.
+#[derive(Clone, Copy, Debug)]
+pub struct Peer(pub IpAddr);
+
 /// Limits of one listener.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -140,7 +144,11 @@
     B: HttpBody<Data = Bytes, Error: Into<BoxError>> + 'static,
 {
     let _ = socket.set_nodelay(true);
-    let service = service_fn(|request| {
+    let peer = socket.peer_addr().ok().map(|address| Peer(address.ip()));
+    let service = service_fn(|mut request: Request<Incoming>| {
+        if let Some(peer) = peer {
+            request.extensions_mut().insert(peer);
+        }
         // On the heap, as the library keeps room for it on idle connections too.
         let answered = Box::pin(handler(request));
         let is_scarce = room.is_scarce();
--- a/crates/gg-ledger/src/crashes.rs
+++ b/crates/gg-ledger/src/crashes.rs
@@ -49,11 +49,20 @@
     pub head: u64,
     /// Digest of the body.
     pub body: u64,
+    /// Digest of who asks.
+    pub caller: u64,
+}
+
+impl Content {
+    /// Whether the same is asked, by whomever.
+    fn is_like(&self, other: &Content) -> bool {
+        (self.head, self.body) == (other.head, other.body)
+    }
 }
 
 impl fmt::Display for Content {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}.{:016x}", self.head, self.body)
+        write!(f, "{:016x}.{:016x}.{:016x}", self.head, self.body, self.caller)
     }
 }
 
@@ -157,18 +166,29 @@
 
     /// Starts of replicas that crashed while they ran a content.
     pub fn count(&self, content: Content) -> usize {
-        self.crashed(content).count()
+        self.alike(content).filter(|(known, _)| *known == content).count()
     }
 
-    /// Whether a content is not to be sent any more.
+    /// Whether a content is not to be sent any more: it crashed enough
+    /// replicas, or its like did at several callers. One caller's crashes
+    /// alone don't stop another one, whose request may mean something else.
     pub fn is_refused(&self, content: Content) -> bool {
-        self.count(content) >= CRASHES_MAX
+        if self.count(content) >= CRASHES_MAX {
+            return true;
+        }
+        let mut callers = HashSet::new();
+        let mut starts = HashSet::new();
+        for (alike, start) in self.alike(content) {
+            callers.insert(alike.caller);
+            starts.insert(start);
+        }
+        callers.len() > 1 && starts.len() >= CRASHES_MAX
     }
 
     /// Whether any content with this head crashed a replica. Heads are short,
     /// so that bodies need not be looked at for nothing.
     pub fn has_head(&self, head: u64) -> bool {
-        let from = lowest(Content { head, body: 0 });
+        let from = lowest(Content { head, body: 0, caller: 0 });
         let next = self.facts.range(from..).next();
         matches!(next, Some((CrashFact::Crashed { content, .. }, _)) if content.head == head)
     }
@@ -191,19 +211,26 @@
     /// Drops what is old. Crashes stay while their content is asked for.
     pub fn expire(&mut self, now: Instant) {
         let is_old = |stamp: &Stamp| now.saturating_duration_since(stamp.at) >= KEEP_TIME;
-        let asked: HashSet<Content> = self
+        let asked: HashSet<(u64, u64)> = self
             .facts
             .iter()
             .filter(|(fact, stamp)| matches!(fact, CrashFact::Refused { .. }) && !is_old(stamp))
-            .map(|(fact, _)| fact.content())
+            .map(|(fact, _)| (fact.content().head, fact.content().body))
             .collect();
-        self.facts.retain(|fact, stamp| !is_old(stamp) || asked.contains(&fact.content()));
+        self.facts.retain(|fact, stamp| {
+            let content = fact.content();
+            !is_old(stamp) || asked.contains(&(content.head, content.body))
+        });
     }
 
-    fn crashed(&self, content: Content) -> impl Iterator<Item = &CrashFact> {
-        let facts = self.facts.range(lowest(content)..).map(|(fact, _)| fact);
-        facts.take_while(move |fact| {
-            matches!(fact, CrashFact::Crashed { content: known, .. } if *known == content)
+    /// Crashes of the same as `content`, by caller and start.
+    fn alike(&self, content: Content) -> impl Iterator<Item = (Content, &Name)> {
+        let from = lowest(Content { caller: 0, ..content });
+        self.facts.range(from..).map_while(move |(fact, _)| match fact {
+            CrashFact::Crashed { content: known, start } if known.is_like(&content) => {
+                Some((*known, start))
+            }
+            _ => None,
         })
     }
 
--- a/crates/gg-ledger/tests/crashes.rs
+++ b/crates/gg-ledger/tests/crashes.rs
@@ -8,7 +8,12 @@
 const HOUR: Duration = Duration::from_secs(3_600);
 
 fn content(head: u64) -> Content {
-    Content { head, body: 1 }
+    Content { head, body: 1, caller: 1 }
+}
+
+fn crashed_by(caller: u64, start: u64) -> CrashFact {
+    let start = format!("r/{start}").as_str().into();
+    CrashFact::Crashed { content: Content { caller, ..content(1) }, start }
 }
 
 fn crashed(head: u64, start: u64) -> CrashFact {
@@ -37,6 +42,22 @@
     assert!(crashes.has_head(7) && !crashes.has_head(6) && !crashes.has_head(8));
 }
 
+/// One caller's crashes don't stop another one; those of several stop all.
+#[test]
+fn callers_are_told_apart() {
+    let now = Instant::now();
+    let refused = |told: &[(u64, u64)]| {
+        let mut crashes = Crashes::default();
+        for (caller, start) in told {
+            crashes.learn(&crashed_by(*caller, *start), Duration::ZERO, now);
+        }
+        [1, 2, 3].map(|caller| crashes.is_refused(Content { caller, ..content(1) }))
+    };
+    assert_eq!(refused(&[(1, 1), (1, 2), (1, 3)]), [true, false, false]);
+    assert_eq!(refused(&[(1, 1), (2, 2), (1, 3)]), [true, true, true]);
+    assert_eq!(refused(&[(1, 1), (2, 1), (3, 1)]), [false; 3], "one start, three at once");
+}
+
 /// Two sets that tell each other of news fall silent, although ages grow with
 /// each message.
 #[test]
