Every send that ends without a whole answer is examined for a crash

What callers saw: a request that crashed three replicas went on to others without end where the replicas fell silent instead of resetting their connections (8 of 8 retries for every kind of request), where the caller had left before the crash showed, and where the replica was back at once.

Cause: a crash was looked for at three places of the code that saw a broken connection. A send whose time was over ended in no_answer and told nobody; that of a caller that left, or of the slower of two sends, was dropped with its future; an answer that was none, or another request's, was not looked at; and a replica that took the new connection 50 ms later was taken for one that had never gone.

Now a guard goes with each send (crash.rs, Underway) until its answer is whole or the replica said that it did not run the request. However it ends otherwise, the replica is examined: it crashed if it can't be reached, or if another start took its name or address. One try of a connection serves all who ask at the same time, none is made if the replica has answered since, and the connection is kept for use.

--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -91,14 +91,14 @@
 /// One send, its answer read whole.
 async fn attempt<D: Deployment>(
     state: &Arc<State<D>>,
-    job: &Job,
+    job: &Arc<Job>,
     place: Place,
 ) -> Result<Response<Full<Bytes>>, Outcome> {
     let replica = place.replica.clone();
     let began = Instant::now();
     let sent = send(state, job, &job.body, place).await?;
     let status = sent.response.status();
-    let (mut headers, body, lease) = read_whole(state, job, sent).await?;
+    let (mut headers, body, lease) = read_whole(job, sent).await?;
     replica.note_delay(began.elapsed().as_secs_f64() * 1e3);
     note_delay(state, job, began.elapsed(), Duration::ZERO);
     lease.keep(&headers);
--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -1,12 +1,15 @@
 //! Contains requests that crash the replicas that run them.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use gg_http::Peer;
 use gg_ledger::{Content, CrashFact};
 use gg_protocol::{Code, Failure};
 use gg_route::Deployment;
-use tokio::time;
+use tokio::{runtime::Handle, time};
 
 use crate::{
     replica::Replica,
@@ -18,6 +21,9 @@
 /// listening; others take a new connection.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
 
+/// Time in which a replica that is back at once is listed as another start.
+const RESTART_TIME: Duration = Duration::from_secs(2);
+
 /// When the client of a refused request may ask again, in ms.
 const RETRY_MS: u64 = 60_000;
 
@@ -54,29 +60,67 @@
     Err(Failure::not_run(Code::Quarantined, message).retry_in(RETRY_MS))
 }
 
-/// A replica broke off while it had a request: if it has crashed, all gateways
-/// are to know.
-pub(crate) fn suspect<D: Deployment>(state: &Arc<State<D>>, job: &Job, replica: &Arc<Replica>) {
-    let content = content(job);
-    let (state, replica, request) = (state.clone(), replica.clone(), job.id().clone());
-    tokio::spawn(async move {
-        time::sleep(CHECK_DELAY).await;
-        let id = &replica.upstream.id;
-        if replica.pool.connect().await.is_ok() {
-            log::info!(
-                "event=crash_dismissed request={request} replica={} content={content} \
-                 reason=listens",
-                id.name
-            );
-            return;
+/// A request that a replica has. If it ends other than by a whole answer, for
+/// whatever reason, it is examined whether the replica crashed beneath it.
+pub(crate) struct Underway<D: Deployment> {
+    state: Arc<State<D>>,
+    job: Arc<Job>,
+    replica: Arc<Replica>,
+    is_settled: bool,
+}
+
+impl<D: Deployment> Underway<D> {
+    pub(crate) fn new(state: &Arc<State<D>>, job: &Arc<Job>, replica: &Arc<Replica>) -> Self {
+        let (state, job, replica) = (state.clone(), job.clone(), replica.clone());
+        Underway { state, job, replica, is_settled: false }
+    }
+
+    /// The replica has answered, or has never got the request.
+    pub(crate) fn settle(&mut self) {
+        self.is_settled = true;
+    }
+}
+
+impl<D: Deployment> Drop for Underway<D> {
+    fn drop(&mut self) {
+        // Without a runtime the process is about to end.
+        let Ok(runtime) = Handle::try_current() else { return };
+        if !self.is_settled {
+            let (state, job) = (self.state.clone(), self.job.clone());
+            runtime.spawn(examine(state, job, self.replica.clone()));
         }
-        log::warn!(
-            "event=crash_suspected request={request} replica={} born={} content={content}",
-            id.name,
-            id.born_ms
-        );
-        state.metrics.count("crashes_suspected", &[]);
-        let start = format!("{}/{}", id.name, id.born_ms).as_str().into();
-        state.ledger.note_crash(CrashFact::Crashed { content, start });
-    });
+    }
+}
+
+/// Finds out whether a replica crashed and has all gateways know.
+async fn examine<D: Deployment>(state: Arc<State<D>>, job: Arc<Job>, replica: Arc<Replica>) {
+    let began = Instant::now();
+    time::sleep(CHECK_DELAY).await;
+    let id = &replica.upstream.id;
+    let (request, content) = (job.id().clone(), content(&job));
+    drop(job);
+    if !replica.is_reachable(began).await {
+        report(&state, &request, content, &replica, "unreachable");
+        return;
+    }
+    if !state.fleet.is_replaced(&replica) {
+        time::sleep(RESTART_TIME).await;
+    }
+    match state.fleet.is_replaced(&replica) {
+        true => report(&state, &request, content, &replica, "restarted"),
+        false => log::info!("event=crash_dismissed request={request} replica={}", id.name),
+    }
+}
+
+fn report<D>(state: &State<D>, request: &str, content: Content, replica: &Replica, evidence: &str) {
+    let id = &replica.upstream.id;
+    log::warn!(
+        "event=crash_suspected request={request} replica={} born={} content={content} \
+         evidence={evidence}",
+        id.name,
+        id.born_ms
+    );
+    state.metrics.count("crashes_suspected", &[("evidence", evidence)]);
+    let start = format!("{}/{}", id.name, id.born_ms).as_str().into();
+    state.ledger.note_crash(CrashFact::Crashed { content, start });
 }
--- a/crates/gg-gateway/src/fleet.rs
+++ b/crates/gg-gateway/src/fleet.rs
@@ -82,6 +82,15 @@
         lock(&self.state).services.get(name).cloned()
     }
 
+    /// Whether another start has taken a replica's name or address.
+    pub(crate) fn is_replaced(&self, replica: &Replica) -> bool {
+        let is_other = |known: &Arc<Replica>| {
+            let (known, old) = (&known.upstream, &replica.upstream);
+            known.id != old.id && (known.id.name == old.id.name || known.address == old.address)
+        };
+        lock(&self.state).replicas.values().any(is_other)
+    }
+
     /// Number of replicas, of those that take work, and of our requests on
     /// them.
     pub(crate) fn counts(&self) -> (u64, u64, u64) {
--- a/crates/gg-gateway/src/pool.rs
+++ b/crates/gg-gateway/src/pool.rs
@@ -89,6 +89,11 @@
         lock(&self.idle).push(Idle { connection, until: Instant::now() + idle });
     }
 
+    /// Keeps a connection that has not been used yet.
+    pub(crate) fn keep_new(&self, connection: Connection) {
+        lock(&self.idle).push(Idle { connection, until: Instant::now() + IDLE_DEFAULT });
+    }
+
     /// Closes what is idle.
     pub(crate) fn clear(&self) {
         lock(&self.idle).clear();
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -16,7 +16,6 @@
 
 use crate::{
     admit::{note_delay, note_pace},
-    crash,
     send::Lease,
     state::State,
     walk::Job,
@@ -78,7 +77,7 @@
 pub(crate) struct Relay<D: Deployment> {
     settle: Settle<D>,
     events: Incoming,
-    lease: Option<Lease>,
+    lease: Option<Lease<D>>,
     headers: HeaderMap,
     upstream: Name,
     /// All bytes passed on, on routes that keep turns.
@@ -95,7 +94,7 @@
     pub(crate) fn new(
         settle: Settle<D>,
         events: Incoming,
-        lease: Lease,
+        lease: Lease<D>,
         headers: HeaderMap,
         began: Instant,
         foreign: Option<Bytes>,
@@ -202,7 +201,6 @@
             Some(err) => {
                 if let (Some(lease), RelayError::Replica(_)) = (&self.lease, err) {
                     lease.replica().suspect(FAILED_TIME);
-                    crash::suspect(&self.settle.state, job, lease.replica());
                 }
                 log::warn!(
                     "event=stream_cut request={id} replica={} events={events} ms={ms} reason={err}",
--- a/crates/gg-gateway/src/replica.rs
+++ b/crates/gg-gateway/src/replica.rs
@@ -22,6 +22,10 @@
 /// observation, so that one that was slow gets tried again.
 const DELAY_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Answers that are read this long after a connection broke may have been sent
+/// before that: a slow instance reads them late.
+const ANSWER_MARGIN: Duration = Duration::from_millis(25);
+
 /// What all replicas of one service have of ours.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceLoad {
@@ -45,6 +49,8 @@
     load: AtomicU32,
     leaving: AtomicBool,
     belief: Mutex<Belief>,
+    /// When it was last tried whether it can be reached, and whether it was.
+    reached: tokio::sync::Mutex<Option<(Instant, bool)>>,
     service_load: Arc<ServiceLoad>,
 }
 
@@ -55,6 +61,7 @@
     /// Shared beginnings of prompts that it has read.
     warm: HashSet<Name>,
     delay: Option<(f64, Instant)>,
+    answered: Option<Instant>,
 }
 
 impl Replica {
@@ -64,6 +71,7 @@
             load: AtomicU32::new(0),
             leaving: AtomicBool::new(upstream.state == UpstreamState::Draining),
             belief: Mutex::default(),
+            reached: tokio::sync::Mutex::default(),
             service_load,
             upstream,
         }
@@ -95,6 +103,33 @@
         lock(&self.belief).suspect_until = Some(Instant::now() + time);
     }
 
+    /// It has answered a request.
+    pub(crate) fn note_answered(&self) {
+        lock(&self.belief).answered = Some(Instant::now());
+    }
+
+    /// Whether it has answered since `began`, or takes a connection now. One
+    /// try serves all who ask at the same time.
+    pub(crate) async fn is_reachable(&self, began: Instant) -> bool {
+        let sent_before = began + ANSWER_MARGIN;
+        let has_answered = || lock(&self.belief).answered.is_some_and(|at| at > sent_before);
+        if has_answered() {
+            return true;
+        }
+        let mut reached = self.reached.lock().await;
+        match *reached {
+            Some((at, was_reached)) if at > began => was_reached,
+            _ => {
+                let at = Instant::now();
+                let connected = self.pool.connect().await;
+                let was_reached = connected.is_ok() || has_answered();
+                connected.into_iter().for_each(|connection| self.pool.keep_new(connection));
+                *reached = Some((at, was_reached));
+                was_reached
+            }
+        }
+    }
+
     /// Whether it has read the shared beginning of a prompt.
     pub(crate) fn is_warm(&self, prefix: &str) -> bool {
         lock(&self.belief).warm.contains(prefix)
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -12,7 +12,7 @@
 use crate::{
     admit::note_full,
     answer::strip_hop_headers,
-    crash,
+    crash::Underway,
     pool::Connection,
     replica::{Place, Replica},
     retry::Outcome,
@@ -34,25 +34,27 @@
 const FULL_TIME: Duration = Duration::from_millis(60);
 
 /// The head of an answer, its body still to be read.
-pub(crate) struct Sent {
+pub(crate) struct Sent<D: Deployment> {
     pub(crate) response: Response<Incoming>,
     pub(crate) marks: ReplyMarks,
-    pub(crate) lease: Lease,
+    pub(crate) lease: Lease<D>,
 }
 
 /// A connection in use and the place on its replica.
-pub(crate) struct Lease {
+pub(crate) struct Lease<D: Deployment> {
     connection: Connection,
+    underway: Underway<D>,
     pub(crate) place: Place,
 }
 
-impl Lease {
+impl<D: Deployment> Lease<D> {
     pub(crate) fn replica(&self) -> &Arc<Replica> {
         &self.place.replica
     }
 
     /// Gives the connection back once the answer was read whole.
-    pub(crate) fn keep(self, headers: &HeaderMap) {
+    pub(crate) fn keep(mut self, headers: &HeaderMap) {
+        self.underway.settle();
         self.place.replica.pool.keep(self.connection, headers);
     }
 }
@@ -61,10 +63,10 @@
 /// of its answer.
 pub(crate) async fn send<D: Deployment>(
     state: &Arc<State<D>>,
-    job: &Job,
+    job: &Arc<Job>,
     body: &Bytes,
     place: Place,
-) -> Result<Sent, Outcome> {
+) -> Result<Sent<D>, Outcome> {
     let sent = try_send(state, job, body, place).await;
     let outcome = match &sent {
         Ok(_) => "answered",
@@ -78,19 +80,20 @@
 
 async fn try_send<D: Deployment>(
     state: &Arc<State<D>>,
-    job: &Job,
+    job: &Arc<Job>,
     body: &Bytes,
     place: Place,
-) -> Result<Sent, Outcome> {
+) -> Result<Sent<D>, Outcome> {
     let replica = place.replica.clone();
     let request = build(state, job, body, &replica);
+    let mut underway = Underway::new(state, job, &replica);
     let answered = time::timeout_at(job.deadline, exchange(job, &replica, request)).await;
     let (connection, response) = match answered {
         Ok(Ok(answered)) => answered,
         Ok(Err(outcome)) => {
             replica.suspect(FAILED_TIME);
-            if outcome == Outcome::Unknown {
-                crash::suspect(state, job, &replica);
+            if outcome == Outcome::Unsent {
+                underway.settle();
             }
             return Err(outcome);
         }
@@ -101,7 +104,7 @@
         }
     };
     let marks = state.dialect.marks(response.headers(), job.id());
-    let lease = Lease { connection, place };
+    let lease = Lease { connection, underway, place };
     if marks.is_foreign {
         log::warn!(
             "event=foreign_answer request={} replica={}",
@@ -123,11 +126,12 @@
         );
         return Err(Outcome::Unknown);
     }
+    replica.note_answered();
     Ok(sent)
 }
 
 /// A replica that says that it did not run the request.
-async fn refused<D: Deployment>(state: &Arc<State<D>>, job: &Job, sent: Sent) -> Outcome {
+async fn refused<D: Deployment>(state: &Arc<State<D>>, job: &Job, mut sent: Sent<D>) -> Outcome {
     let replica = sent.lease.replica().clone();
     let status = sent.response.status();
     log::info!(
@@ -143,9 +147,10 @@
         }
         _ => replica.suspect(FAILED_TIME),
     }
+    sent.lease.underway.settle();
     // The refusal stands whatever its body holds; the connection is kept
     // only if that ends as it should.
-    if let Ok((headers, _, lease)) = read_whole(state, job, sent).await {
+    if let Ok((headers, _, lease)) = read_whole(job, sent).await {
         lease.keep(&headers);
     }
     Outcome::Unexecuted
@@ -153,7 +158,7 @@
 
 /// Whether an answer is the replica's own and may be passed on as it is. A
 /// status that promises "not run" is none without that mark.
-fn is_trusted(sent: &Sent) -> bool {
+fn is_trusted<D: Deployment>(sent: &Sent<D>) -> bool {
     let status = sent.response.status();
     let promises = matches!(status.as_u16(), 408 | 421 | 429 | 503);
     let is_encoded = sent.response.headers().contains_key(header::CONTENT_ENCODING);
@@ -163,10 +168,9 @@
 
 /// Reads the rest of an answer.
 pub(crate) async fn read_whole<D: Deployment>(
-    state: &Arc<State<D>>,
     job: &Job,
-    sent: Sent,
-) -> Result<(HeaderMap, Bytes, Lease), Outcome> {
+    sent: Sent<D>,
+) -> Result<(HeaderMap, Bytes, Lease<D>), Outcome> {
     let (head, body) = sent.response.into_parts();
     match time::timeout_at(job.deadline, Limited::new(body, ANSWER_MAX_BYTES).collect()).await {
         Ok(Ok(whole)) => Ok((head.headers, whole.to_bytes(), sent.lease)),
@@ -177,7 +181,6 @@
                 sent.lease.replica().upstream.id.name
             );
             sent.lease.replica().suspect(FAILED_TIME);
-            crash::suspect(state, job, sent.lease.replica());
             Err(Outcome::Unknown)
         }
         Err(_) => Err(Outcome::Unknown),
