Another send of a request is checked like its first

What callers saw: requests that a replica had kept waiting and then refused went on to a second replica seconds after others like them had crashed three: 5 of 40 in retries_are_checked, where three are allowed, all of them later than contact-ms.

Cause: whether a request's like had crashed replicas was asked once, before anything else. A wait for a place, another try after a refusal and a second send beside a silent one all came later and asked nothing.

Now the place that gives out places asks each time, also after a wait, and a second send is not begun. A request of which nothing ran is told so; one that may have run gets what it would have got.

Before: the test failed (5 sent).

--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -15,6 +15,7 @@
 use crate::{
     admit::{admit, note_delay},
     answer::strip_hop_headers,
+    crash,
     place::{best, place, untried},
     replica::Place,
     retry::{Next, Outcome, Tries},
@@ -77,6 +78,7 @@
 
 /// A place for a second send, if the budget and the replicas allow it.
 fn hedge<D: Deployment>(state: &State<D>, job: &Job, tried: &[UpstreamId]) -> Option<Place> {
+    crash::check(state, job).ok()?;
     let service = state.fleet.service(&job.service.name)?;
     let open = untried(&service, tried);
     let place = best(state, job, &open, &Opened::default())?;
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -12,6 +12,7 @@
 use crate::{
     call::refusal,
     choice::{Candidate, ChoiceSettings, choose},
+    crash,
     fleet::Service,
     replica::{Place, Replica},
     retry::{Next, Tries},
@@ -47,6 +48,14 @@
         _ => refusal(message),
     };
     loop {
+        // Others like it may have crashed replicas while it waited, or while a
+        // replica had it that refused it then.
+        if let Err(failure) = crash::check(state, job) {
+            return Err(match tries.end() {
+                Next::GiveUp => give_up("requests like this one crashed replicas"),
+                _ => failure,
+            });
+        }
         let Some(service) = state.fleet.service(&job.service.name) else {
             return Err(give_up("no replica of the service is known"));
         };
