Signs of life clear what counted as a crash

What callers saw: a sound request that ran on replicas which crashed or were cut off for other reasons was refused from the third on, for an hour and, as refusals are remembered now, for as long as its caller kept asking.

Cause: crashes were only ever added up.

A poisonous request never ends whole, so a whole answer to a content shows that what crashed before crashed for other reasons (Sound); and a start that answers a request which began after its crash was told has not crashed (Alive), unless within two seconds another start turns out to have taken its name or address. Both are facts like crashes and travel with them; a younger one clears older crashes in every set that hears of it, in whatever order.

--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -7,7 +7,7 @@
 
 use gg_http::Peer;
 use gg_ledger::{Content, CrashFact};
-use gg_protocol::{Code, Failure};
+use gg_protocol::{Code, Failure, Name};
 use gg_route::Deployment;
 use tokio::{runtime::Handle, time};
 
@@ -66,19 +66,43 @@
     state: Arc<State<D>>,
     job: Arc<Job>,
     replica: Arc<Replica>,
+    began: Instant,
     is_settled: bool,
 }
 
 impl<D: Deployment> Underway<D> {
     pub(crate) fn new(state: &Arc<State<D>>, job: &Arc<Job>, replica: &Arc<Replica>) -> Self {
         let (state, job, replica) = (state.clone(), job.clone(), replica.clone());
-        Underway { state, job, replica, is_settled: false }
+        Underway { state, job, replica, began: Instant::now(), is_settled: false }
     }
 
-    /// The replica has answered, or has never got the request.
+    /// The replica has not run the request.
     pub(crate) fn settle(&mut self) {
         self.is_settled = true;
     }
+
+    /// The replica's answer is whole. One that ran the request shows that it
+    /// crashes no replica.
+    pub(crate) fn finish(mut self) {
+        if std::mem::replace(&mut self.is_settled, true) {
+            return;
+        }
+        let crashes = self.state.ledger.crashes();
+        if crashes.is_empty() {
+            return;
+        }
+        let is_counted = crashes.has_head(head(&self.job)) && crashes.count(content(&self.job)) > 0;
+        let has_crashed = crashes.has_crashed(&start_of(&self.replica), self.began);
+        drop(crashes);
+        if is_counted {
+            let content = content(&self.job);
+            self.state.ledger.note_crash(CrashFact::Sound { content }, Duration::ZERO);
+        }
+        if has_crashed {
+            let (state, replica) = (self.state.clone(), self.replica.clone());
+            tokio::spawn(confirm_alive(state, replica, self.began));
+        }
+    }
 }
 
 impl<D: Deployment> Drop for Underway<D> {
@@ -112,6 +136,22 @@
     }
 }
 
+/// A start that counts as crashed has answered a request that `began` after
+/// that. Unless another start answered in its name, it has not crashed.
+async fn confirm_alive<D: Deployment>(state: Arc<State<D>>, replica: Arc<Replica>, began: Instant) {
+    time::sleep(RESTART_TIME).await;
+    if !state.fleet.is_replaced(&replica) {
+        let fact = CrashFact::Alive { start: start_of(&replica) };
+        state.ledger.note_crash(fact, began.elapsed());
+    }
+}
+
+/// Name of a replica's start.
+fn start_of(replica: &Replica) -> Name {
+    let id = &replica.upstream.id;
+    format!("{}/{}", id.name, id.born_ms).as_str().into()
+}
+
 fn report<D>(state: &State<D>, request: &str, content: Content, replica: &Replica, evidence: &str) {
     let id = &replica.upstream.id;
     log::warn!(
@@ -121,6 +161,6 @@
         id.born_ms
     );
     state.metrics.count("crashes_suspected", &[("evidence", evidence)]);
-    let start = format!("{}/{}", id.name, id.born_ms).as_str().into();
-    state.ledger.note_crash(CrashFact::Crashed { content, start });
+    let start = start_of(replica);
+    state.ledger.note_crash(CrashFact::Crashed { content, start }, Duration::ZERO);
 }
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -53,8 +53,8 @@
     }
 
     /// Gives the connection back once the answer was read whole.
-    pub(crate) fn keep(mut self, headers: &HeaderMap) {
-        self.underway.settle();
+    pub(crate) fn keep(self, headers: &HeaderMap) {
+        self.underway.finish();
         self.place.replica.pool.keep(self.connection, headers);
     }
 }
--- a/crates/gg-ledger/src/crashes.rs
+++ b/crates/gg-ledger/src/crashes.rs
@@ -1,10 +1,11 @@
 //! What is known of requests that crash replicas: facts that gateways see and
-//! ledger instances keep. Facts are only ever added, so two sets of them are
-//! put together by taking in all of both, in any order and as often as one
-//! likes, and no answer of one instance takes back what another one told.
+//! ledger instances keep. Two sets of them are put together by taking in all of
+//! both, in any order and as often as one likes, so that no answer of one
+//! instance takes back what another one told. Only a younger fact clears an
+//! older one.
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     fmt,
     time::{Duration, Instant},
 };
@@ -28,8 +29,8 @@
 const EVICTED_SHARE: usize = 8;
 
 /// A fact that is told again counts as new only if it is younger than the
-/// known one by more than this: ages grow by the time that a message is on
-/// its way.
+/// known one by more than this, or clears another one: ages grow by the time
+/// that a message is on its way.
 const RENEWAL_MIN: Duration = Duration::from_secs(2);
 
 /// The same for a content that is refused again and again: it is told that
@@ -69,6 +70,17 @@
 /// A fact about crashes.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum CrashFact {
+    /// A start of a replica answered: it has not crashed before that.
+    Alive {
+        /// Start of the replica.
+        start: Name,
+    },
+    /// A replica ran a content to its end: what crashed before that crashed
+    /// for other reasons.
+    Sound {
+        /// The content.
+        content: Content,
+    },
     /// A start of a replica crashed while it ran a content.
     Crashed {
         /// The content.
@@ -84,10 +96,28 @@
 }
 
 impl CrashFact {
-    /// The content that the fact is about.
-    pub fn content(&self) -> Content {
+    /// The content that the fact is about, if it is about one.
+    pub fn content(&self) -> Option<Content> {
         match self {
-            CrashFact::Crashed { content, .. } | CrashFact::Refused { content } => *content,
+            CrashFact::Alive { .. } => None,
+            CrashFact::Sound { content }
+            | CrashFact::Crashed { content, .. }
+            | CrashFact::Refused { content } => Some(*content),
+        }
+    }
+
+    /// Whether it can show that others are no crashes.
+    fn is_clearing(&self) -> bool {
+        matches!(self, CrashFact::Alive { .. } | CrashFact::Sound { .. })
+    }
+
+    /// Whether it shows that another fact is no crash, if it is the younger.
+    fn clears(&self, other: &CrashFact) -> bool {
+        let CrashFact::Crashed { content: crashing, start: crashed } = other else { return false };
+        match self {
+            CrashFact::Alive { start } => start == crashed,
+            CrashFact::Sound { content } => content == crashing,
+            CrashFact::Crashed { .. } | CrashFact::Refused { .. } => false,
         }
     }
 }
@@ -112,6 +142,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Crashes {
     facts: BTreeMap<CrashFact, Stamp>,
+    /// Starts that count as crashed, and when they last did.
+    starts: HashMap<Name, Instant>,
     /// Serial of the newest fact.
     last: u64,
 }
@@ -124,10 +156,26 @@
             CrashFact::Refused { .. } => REFUSED_RENEWAL,
             _ => RENEWAL_MIN,
         };
-        if self.facts.get(fact).is_some_and(|known| at <= known.at + renewal) {
+        let clears = |(known, stamp): (&CrashFact, &Stamp)| stamp.at <= at && fact.clears(known);
+        let is_known = self.facts.get(fact).is_some_and(|known| at <= known.at + renewal);
+        if is_known && !(fact.is_clearing() && self.facts.iter().any(clears)) {
+            return false;
+        }
+        if self.is_cleared(fact, at) {
             return false;
         }
         self.last += 1;
+        match fact {
+            CrashFact::Crashed { start, .. } => {
+                let known = self.starts.entry(start.clone()).or_insert(at);
+                *known = at.max(*known);
+            }
+            CrashFact::Alive { .. } | CrashFact::Sound { .. } => {
+                self.facts.retain(|known, stamp| stamp.at > at || !fact.clears(known));
+                self.index_starts();
+            }
+            CrashFact::Refused { .. } => {}
+        }
         self.facts.insert(fact.clone(), Stamp { at, serial: self.last });
         if self.facts.len() > FACTS_MAX {
             self.evict();
@@ -135,6 +183,29 @@
         true
     }
 
+    /// Whether a younger fact shows that this one is no crash.
+    fn is_cleared(&self, fact: &CrashFact, at: Instant) -> bool {
+        let CrashFact::Crashed { content, start } = fact else { return false };
+        let clearing =
+            [CrashFact::Sound { content: *content }, CrashFact::Alive { start: start.clone() }];
+        clearing.iter().filter_map(|fact| self.facts.get(fact)).any(|stamp| stamp.at > at)
+    }
+
+    fn index_starts(&mut self) {
+        self.starts.clear();
+        for (fact, stamp) in &self.facts {
+            if let CrashFact::Crashed { start, .. } = fact {
+                let known = self.starts.entry(start.clone()).or_insert(stamp.at);
+                *known = stamp.at.max(*known);
+            }
+        }
+    }
+
+    /// Whether a start counted as crashed at `at`.
+    pub fn has_crashed(&self, start: &str, at: Instant) -> bool {
+        self.starts.get(start).is_some_and(|crashed| *crashed < at)
+    }
+
     /// Takes in facts of another set; returns those that were new.
     pub fn merge(&mut self, facts: &[AgedFact], now: Instant) -> Vec<CrashFact> {
         let new = facts
@@ -215,12 +286,15 @@
             .facts
             .iter()
             .filter(|(fact, stamp)| matches!(fact, CrashFact::Refused { .. }) && !is_old(stamp))
-            .map(|(fact, _)| (fact.content().head, fact.content().body))
+            .filter_map(|(fact, _)| fact.content())
+            .map(|content| (content.head, content.body))
             .collect();
-        self.facts.retain(|fact, stamp| {
-            let content = fact.content();
-            !is_old(stamp) || asked.contains(&(content.head, content.body))
-        });
+        let is_asked = |content: Content| asked.contains(&(content.head, content.body));
+        let before = self.facts.len();
+        self.facts.retain(|fact, stamp| !is_old(stamp) || fact.content().is_some_and(is_asked));
+        if self.facts.len() < before {
+            self.index_starts();
+        }
     }
 
     /// Crashes of the same as `content`, by caller and start.
@@ -239,12 +313,16 @@
         let mut order: Vec<(bool, Instant, CrashFact)> = self
             .facts
             .iter()
-            .map(|(fact, stamp)| (self.is_refused(fact.content()), stamp.at, fact.clone()))
+            .map(|(fact, stamp)| {
+                let is_refused = fact.content().is_some_and(|content| self.is_refused(content));
+                (is_refused, stamp.at, fact.clone())
+            })
             .collect();
         order.sort_unstable();
         for (_, _, fact) in order.into_iter().take(FACTS_MAX / EVICTED_SHARE) {
             self.facts.remove(&fact);
         }
+        self.index_starts();
     }
 }
 
@@ -255,16 +333,19 @@
 
 /// Logs a fact that a set has just learned.
 pub(crate) fn log_learned(crashes: &Crashes, fact: &CrashFact, from: &str) {
-    let content = fact.content();
-    let count = crashes.count(content);
-    let is_refused = crashes.is_refused(content);
     match fact {
-        CrashFact::Crashed { start, .. } => log::warn!(
-            "event=crash_learned content={content} start={start} crashes={count} \
-             refused={is_refused} from={from}"
-        ),
-        CrashFact::Refused { .. } => {
-            log::info!("event=refusal_learned content={content} crashes={count} from={from}");
+        CrashFact::Alive { start } => log::info!("event=alive_learned start={start} from={from}"),
+        CrashFact::Sound { content } => {
+            log::info!("event=sound_learned content={content} from={from}");
         }
+        CrashFact::Crashed { content, start } => log::warn!(
+            "event=crash_learned content={content} start={start} crashes={} refused={} from={from}",
+            crashes.count(*content),
+            crashes.is_refused(*content)
+        ),
+        CrashFact::Refused { content } => log::info!(
+            "event=refusal_learned content={content} crashes={} from={from}",
+            crashes.count(*content)
+        ),
     }
 }
--- a/crates/gg-ledger/src/news.rs
+++ b/crates/gg-ledger/src/news.rs
@@ -91,19 +91,20 @@
         lock(&self.crashes)
     }
 
-    /// Takes in a fact about crashes that was just seen here, and tells it to
+    /// Takes in a fact about crashes that was seen here `age` ago, and tells it to
     /// all instances that are connected. What does not arrive is told with the
     /// news until it does.
-    pub fn note_crash(&self, fact: CrashFact) {
+    pub fn note_crash(&self, fact: CrashFact, age: Duration) {
         {
             let mut crashes = self.crashes();
-            if !crashes.learn(&fact, Duration::ZERO, Instant::now()) {
+            if !crashes.learn(&fact, age, Instant::now()) {
                 return;
             }
             log_learned(&crashes, &fact, "here");
         }
+        let aged = AgedFact { fact, age_ms: age.as_millis() as u64 };
         for link in lock(&self.state).links.all() {
-            link.tell(NO_PARTITION, Ask::Crash(AgedFact { fact: fact.clone(), age_ms: 0 }));
+            link.tell(NO_PARTITION, Ask::Crash(aged.clone()));
         }
     }
 
--- a/crates/gg-ledger/tests/crashes.rs
+++ b/crates/gg-ledger/tests/crashes.rs
@@ -171,6 +171,63 @@
     }
 }
 
+fn alive(start: u64) -> CrashFact {
+    CrashFact::Alive { start: format!("r/{start}").as_str().into() }
+}
+
+/// A younger sign of life clears a crash, an older one does not, and what was
+/// cleared does not come back from a set that has not heard of it.
+#[test]
+fn signs_of_life_clear() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let sound = CrashFact::Sound { content: content(1) };
+    let mut crashes = Crashes::default();
+    crashes.learn(&crashed(1, 1), Duration::ZERO, at(10));
+    crashes.learn(&crashed(2, 1), Duration::ZERO, at(10));
+    let behind = crashes.clone();
+    crashes.learn(&alive(1), Duration::from_secs(5), at(11));
+    assert_eq!(crashes.count(content(1)), 1, "alive before it crashed");
+    assert!(crashes.has_crashed("r/1", at(11)) && !crashes.has_crashed("r/1", at(9)));
+    crashes.learn(&sound, Duration::ZERO, at(19));
+    crashes.learn(&crashed(1, 2), Duration::ZERO, at(20));
+    crashes.learn(&sound, Duration::ZERO, at(20));
+    assert_eq!((crashes.count(content(1)), crashes.count(content(2))), (0, 1));
+    crashes.learn(&alive(1), Duration::ZERO, at(30));
+    assert_eq!(crashes.count(content(2)), 0);
+    assert!(!crashes.has_crashed("r/1", at(31)));
+    tell(&behind, &mut crashes, at(32));
+    assert_eq!((crashes.count(content(1)), crashes.count(content(2))), (0, 0));
+    crashes.learn(&crashed(1, 1), Duration::ZERO, at(40));
+    assert_eq!(crashes.count(content(1)), 1, "a crash after that counts");
+}
+
+proptest! {
+    /// Sets that hear the same facts in any order agree.
+    #[test]
+    fn order_is_no_matter(kinds in prop::collection::vec(0..6_u64, 1..12).prop_shuffle(),
+                          keys in prop::collection::vec(any::<u64>(), 12)) {
+        let now = Instant::now() + HOUR;
+        let told: Vec<AgedFact> = kinds.iter().enumerate().map(|(number, kind)| {
+            let fact = match kind {
+                0 => alive(1),
+                1 => CrashFact::Sound { content: content(1) },
+                start => crashed(start % 2, start / 2),
+            };
+            aged(&fact, 1_000 + number as u64 * 10_000)
+        }).collect();
+        let mut order: Vec<usize> = (0..told.len()).collect();
+        order.sort_by_key(|number| keys[*number]);
+        let shuffled: Vec<AgedFact> = order.iter().map(|number| told[*number].clone()).collect();
+        let (mut one, mut other) = (Crashes::default(), Crashes::default());
+        one.merge(&told, now);
+        other.merge(&shuffled, now);
+        for head in 0..2 {
+            prop_assert_eq!(one.count(content(head)), other.count(content(head)));
+        }
+    }
+}
+
 #[test]
 fn old_news_is_none() {
     let now = Instant::now() + HOUR * 2;
