A slow store at the first start founds no layout without members

What callers saw: nothing was ever served.

Cause, traced with a trial that printed the store's objects: the layout was founded with 'members: []'. An instance counted the wait for the others from the start of its process. If the store's list took longer than that, the look that registered the instance went on to found the layout with the registered instances as they were before it, that is with none. No later look mends a set without members, and the number of partitions stands for good. Ruled out: ports (all processes listened), a lost configuration (the store had it).

Now the wait counts from the instance's own registration, what is known after that is founded on, and while fewer instances are registered than bear the loss of one, it is four times as long. With none, nothing is founded.

Before: slow_store_at_start (a store that takes 200 ms, a wait of 150 ms) failed after 30 s. After: passed, as did the tests of directory and turns.

--- a/crates/gg-ledger/src/keeper.rs
+++ b/crates/gg-ledger/src/keeper.rs
@@ -48,6 +48,10 @@
 /// a member that is replaced: until then it costs little.
 const ABANDON_FACTOR: u32 = 4;
 
+/// How many times longer the founding waits while too few instances are
+/// registered to bear the loss of one.
+const FOUNDING_FACTOR: u32 = 4;
+
 /// Keeps one instance in the layout.
 #[derive(Debug)]
 pub struct Keeper<D> {
@@ -66,6 +70,8 @@
     registered: IndexMap<Name, Registration>,
     /// Instances that are to be emptied.
     leaving: IndexSet<Name>,
+    /// Since when this instance is registered.
+    registered_at: Option<Instant>,
     /// What the operators were told of this instance's emptying.
     told: Option<bool>,
     is_listed: bool,
@@ -183,18 +189,17 @@
 
     /// Looks at the layout again and again and does what is next.
     async fn keep(&self) {
-        let started = Instant::now();
         loop {
             // Either way it is time to look again.
             let _ = time::timeout(LOOK_INTERVAL, self.changed.notified()).await;
-            if let Err(err) = self.look(started).await {
+            if let Err(err) = self.look().await {
                 log::warn!("event=layout_change_failed error={err}");
                 time::sleep(LOOK_INTERVAL).await;
             }
         }
     }
 
-    async fn look(&self, started: Instant) -> Result<(), PlatformError> {
+    async fn look(&self) -> Result<(), PlatformError> {
         let (layout, registered, leaving) = {
             let known = self.known();
             if !known.is_listed {
@@ -204,7 +209,7 @@
         };
         self.register(&registered).await?;
         let Some((revision, layout)) = layout else {
-            return self.found(started, &registered).await;
+            return self.found().await;
         };
         self.watch_others(&layout, &registered);
         self.tell_leaving(&layout, &leaving).await?;
@@ -250,6 +255,7 @@
     ) -> Result<(), PlatformError> {
         let member = &self.settings.member;
         if registered.get(&member.instance).is_some_and(|found| found.member == *member) {
+            self.known().registered_at.get_or_insert_with(Instant::now);
             return Ok(());
         }
         let since_ms = SystemTime::now()
@@ -260,7 +266,9 @@
         let over = self.revision_of(&member.instance, registered).await?;
         self.directory.write(Kind::Ledgers, &member.instance, body, over).await?;
         log::info!("event=ledger_registered disk={}", member.disk);
-        self.known().registered.insert(member.instance.clone(), registration);
+        let mut known = self.known();
+        known.registered.insert(member.instance.clone(), registration);
+        known.registered_at.get_or_insert_with(Instant::now);
         Ok(())
     }
 
@@ -279,15 +287,22 @@
     }
 
     /// Founds the layout when the whole deployment starts for the first time.
-    async fn found(
-        &self,
-        started: Instant,
-        registered: &IndexMap<Name, Registration>,
-    ) -> Result<(), PlatformError> {
-        if !self.settings.is_founding || started.elapsed() < self.settings.founding_wait {
+    /// Its number of partitions stands for good, so the others get time to
+    /// register, counted from when this instance could, and more of it while
+    /// they are too few to lose any.
+    async fn found(&self) -> Result<(), PlatformError> {
+        let (members, registered_at) = {
+            let known = self.known();
+            let members = known.registered.values().map(|found| found.member.clone());
+            (members.collect::<Vec<_>>(), known.registered_at)
+        };
+        let wanted = 2 * self.settings.tolerated + 1;
+        let factor = if members.len() < wanted { FOUNDING_FACTOR } else { 1 };
+        let wait = self.settings.founding_wait * factor;
+        let is_due = registered_at.is_some_and(|at| at.elapsed() >= wait);
+        if !self.settings.is_founding || !is_due || members.is_empty() {
             return Ok(());
         }
-        let members: Vec<Member> = registered.values().map(|found| found.member.clone()).collect();
         self.write_layout(Layout::found(&members, self.settings.tolerated), None).await
     }
 
