A gateway that reaches no ledger instance refuses a content after one crash

What callers saw: with no ledger instance within reach, three gateways that each had to see three crashes for themselves sent the request six times more after the third (crashes_are_not_forgotten, 3 allowed; two gateways: 3).

Cause: the threshold of three is meant for what all gateways see together. A gateway that is cut off hears of nobody's crashes, so its own count stands for a part of them only, while machines that still reach the platform count as in touch.

It knows more again with the first instance that it reaches, and the threshold is three again. Weighed: the crashes as objects of the platform's store, which needs another kind to write, follow and clean up for a case in which a gateway serves the calls of open connections alone.

--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -50,7 +50,7 @@
         return Ok(());
     }
     let content = content(job);
-    if !state.ledger.crashes().is_refused(content) {
+    if !state.ledger.is_refused(content) {
         return Ok(());
     }
     log::info!("event=quarantine_refused request={} content={content}", job.id());
--- a/crates/gg-ledger/src/news.rs
+++ b/crates/gg-ledger/src/news.rs
@@ -108,6 +108,14 @@
         }
     }
 
+    /// Whether a content is not to be sent. Without any instance nothing is
+    /// heard of the crashes that other clients see, so one counts as enough.
+    pub fn is_refused(&self, content: Content) -> bool {
+        let is_alone = self.connected() == 0;
+        let crashes = self.crashes();
+        crashes.is_refused(content) || (is_alone && crashes.count(content) > 0)
+    }
+
     /// Takes in that a content was refused here; told with the news.
     pub fn note_refused(&self, content: Content) {
         let mut crashes = self.crashes();
