Tests: gateways and ledgers as processes in a module of their own

The soak's start of processes moves to tests/processes, for a second test file that needs it, with the most memory that a process has had.

--- /dev/null
+++ b/tests/processes/mod.rs
@@ -0,0 +1,149 @@
+//! Gateways and ledgers as processes of their own beside stand-ins for the
+//! store and replicas.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+};
+
+use gg_fakes::start_process;
+use tempfile::TempDir;
+use tokio_util::sync::CancellationToken;
+
+use crate::support::{
+    FakeReplica, FakeStore,
+    deployment::{configuration, eventually},
+};
+
+pub const LEDGERS: usize = 3;
+
+/// One of our programs as a process.
+pub struct Program {
+    settings: String,
+    child: Option<Child>,
+}
+
+impl Program {
+    pub fn start(&mut self) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_greengageforkd"));
+        let child = start_process(command.arg(&self.settings).stdout(Stdio::null()));
+        self.child = Some(child.expect("the program starts"));
+    }
+
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child {
+            // SAFETY: a signal to a process that we started and have not reaped.
+            unsafe { libc::kill(child.id() as libc::pid_t, signal) };
+        }
+    }
+
+    /// Most memory that it has had, in bytes.
+    pub fn memory_peak(&self) -> u64 {
+        let id = self.child.as_ref().expect("it runs").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kilobytes.and_then(|number| number.trim().parse::<u64>().ok()).expect("a number") << 10
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            child.wait().expect("it was ours");
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A deployment; ends with the value. Its programs are the ledgers, then the
+/// gateways.
+pub struct Processes {
+    pub store: FakeStore,
+    pub replicas: Vec<FakeReplica>,
+    pub clients: Vec<SocketAddr>,
+    pub programs: Vec<Program>,
+    pub folders: Vec<TempDir>,
+    _settings: TempDir,
+    stop: CancellationToken,
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+impl Processes {
+    pub async fn start(gateways: usize, replicas: usize) -> Self {
+        let stop = CancellationToken::new();
+        let store = FakeStore::start(stop.clone()).await;
+        let mut listed = Vec::new();
+        for number in 0..replicas {
+            let replica = FakeReplica::start(&format!("r-{number}"), stop.clone()).await;
+            store.put("servers", &replica.name, replica.entry("app", "ready"));
+            listed.push(replica);
+        }
+        store.put("config", "main", configuration(1, &["call", "once", "turn"]));
+        let settings = TempDir::new().expect("folder");
+        let folders: Vec<TempDir> = (0..LEDGERS).map(|_| TempDir::new().expect("folder")).collect();
+        let mut programs = Vec::new();
+        let mut clients = Vec::new();
+        for number in 0..LEDGERS + gateways {
+            let mut text = format!("[directory]\naddress = {}\ntimeout_ms = 300\n", store.address);
+            let part = match folders.get(number) {
+                Some(folder) => format!(
+                    "[instance]\nname = ledger-{number}\ndata_centre = {}\n[ledger]\n\
+                     listen = {}\nfolder = {}\nfounding = yes\nfounding_wait_ms = 300\n\
+                     idle_patience_ms = 700\n",
+                    ["a", "b", "c"][number],
+                    free_address(),
+                    folder.path().display()
+                ),
+                None => {
+                    clients.push(free_address());
+                    format!(
+                        "[instance]\nname = gateway-{number}\ndata_centre = a\n[gateway]\n\
+                         clients = {}\nready = {}\n",
+                        clients[number - LEDGERS],
+                        free_address()
+                    )
+                }
+            };
+            text.push_str(&part);
+            let path = settings.path().join(format!("{number}.ini"));
+            std::fs::write(&path, text).expect("settings");
+            let settings = path.to_string_lossy().into_owned();
+            let mut program = Program { settings, child: None };
+            program.start();
+            programs.push(program);
+        }
+        wait_for_layout(&store).await;
+        Processes { store, replicas: listed, clients, programs, folders, _settings: settings, stop }
+    }
+}
+
+fn free_address() -> SocketAddr {
+    gg_fakes::free_address().parse().expect("an address")
+}
+
+/// Waits until every registered disk is a member and no change is under way.
+pub async fn wait_for_layout(store: &FakeStore) {
+    eventually("the layout is whole", async || {
+        let Some((layout, _)) = store.get("gg-ledgers", "layout") else { return false };
+        let set = &layout["partitions"][0];
+        let members = set["members"].as_array().cloned().unwrap_or_default();
+        let registered =
+            (0..LEDGERS).filter_map(|n| store.get("gg-ledgers", &format!("ledger-{n}")));
+        let disks: Vec<_> = registered.map(|(spec, _)| spec["member"]["disk"].clone()).collect();
+        set["next"].is_null()
+            && disks.len() == LEDGERS
+            && disks.iter().all(|disk| members.iter().any(|member| member["disk"] == *disk))
+    })
+    .await;
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -8,10 +8,11 @@
 #[path = "../platform/tests/support/mod.rs"]
 mod support;
 
+mod processes;
+
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -20,18 +21,17 @@
 };
 
 use bytes::Bytes;
-use gg_fakes::{Random, start_process};
+use gg_fakes::Random;
 use gg_http::Client;
 use http::{Request, StatusCode};
+use processes::{LEDGERS, Processes, Program, wait_for_layout};
 use support::{FakeReplica, FakeStore, Manner, Manners, deployment::configuration};
 use tempfile::TempDir;
 use tokio::time;
-use tokio_util::sync::CancellationToken;
 
 /// Seeds of the short run.
 const SEEDS: [u64; 2] = [1, 2];
 
-const LEDGERS: usize = 3;
 const GATEWAYS: usize = 2;
 const CLIENTS: usize = 4;
 
@@ -48,40 +48,6 @@
 /// Tokens of the stand-in's stream.
 const TURN_TOKENS: u64 = 30;
 
-/// One of our programs as a process.
-struct Program {
-    settings: String,
-    child: Option<Child>,
-}
-
-impl Program {
-    fn start(&mut self) {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_greengageforkd"));
-        let child = start_process(command.arg(&self.settings).stdout(Stdio::null()));
-        self.child = Some(child.expect("the program starts"));
-    }
-
-    fn signal(&self, signal: i32) {
-        if let Some(child) = &self.child {
-            // SAFETY: a signal to a process that we started and have not reaped.
-            unsafe { libc::kill(child.id() as libc::pid_t, signal) };
-        }
-    }
-
-    fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            child.wait().expect("it was ours");
-        }
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// What clients saw of calls that may not be repeated.
 #[derive(Default)]
 struct Seen {
@@ -102,10 +68,6 @@
     is_over: AtomicBool,
 }
 
-fn free_address() -> SocketAddr {
-    gg_fakes::free_address().parse().expect("an address")
-}
-
 impl Soak {
     fn id(&self) -> String {
         format!("{:016x}", self.next.fetch_add(1, Ordering::Relaxed))
@@ -333,90 +295,24 @@
     }
 }
 
-/// Waits until every registered disk is a member and no change is under way.
-async fn wait_for_layout(store: &FakeStore) {
-    support::deployment::eventually("the layout is whole", async || {
-        let Some((layout, _)) = store.get("gg-ledgers", "layout") else { return false };
-        let set = &layout["partitions"][0];
-        let members = set["members"].as_array().cloned().unwrap_or_default();
-        let registered =
-            (0..LEDGERS).filter_map(|n| store.get("gg-ledgers", &format!("ledger-{n}")));
-        let disks: Vec<_> = registered.map(|(spec, _)| spec["member"]["disk"].clone()).collect();
-        set["next"].is_null()
-            && disks.len() == LEDGERS
-            && disks.iter().all(|disk| members.iter().any(|member| member["disk"] == *disk))
-    })
-    .await;
-}
-
-/// A deployment of processes; ends with the value.
+/// A deployment of processes and what callers see of it.
 struct Fleet {
     soak: Arc<Soak>,
-    programs: Vec<Program>,
-    folders: Vec<TempDir>,
-    _settings: TempDir,
-    stop: CancellationToken,
-}
-
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        self.stop.cancel();
-    }
+    processes: Processes,
 }
 
 async fn start() -> Fleet {
-    let stop = CancellationToken::new();
-    let store = FakeStore::start(stop.clone()).await;
-    let mut replicas = Vec::new();
-    for number in 0..2 {
-        let replica = FakeReplica::start(&format!("r-{number}"), stop.clone()).await;
-        store.put("servers", &replica.name, replica.entry("app", "ready"));
-        replicas.push(replica);
-    }
-    store.put("config", "main", configuration(1, &["call", "once", "turn"]));
-    let settings = TempDir::new().expect("folder");
-    let folders: Vec<TempDir> = (0..LEDGERS).map(|_| TempDir::new().expect("folder")).collect();
-    let mut programs = Vec::new();
-    let mut clients = Vec::new();
-    for number in 0..LEDGERS + GATEWAYS {
-        let mut text = format!("[directory]\naddress = {}\ntimeout_ms = 300\n", store.address);
-        let part = match folders.get(number) {
-            Some(folder) => format!(
-                "[instance]\nname = ledger-{number}\ndata_centre = {}\n[ledger]\nlisten = {}\n\
-                 folder = {}\nfounding = yes\nfounding_wait_ms = 300\nidle_patience_ms = 700\n",
-                ["a", "b", "c"][number],
-                free_address(),
-                folder.path().display()
-            ),
-            None => {
-                clients.push(free_address());
-                format!(
-                    "[instance]\nname = gateway-{number}\ndata_centre = a\n[gateway]\n\
-                     clients = {}\nready = {}\n",
-                    clients[number - LEDGERS],
-                    free_address()
-                )
-            }
-        };
-        text.push_str(&part);
-        let path = settings.path().join(format!("{number}.ini"));
-        std::fs::write(&path, text).expect("settings");
-        let settings = path.to_string_lossy().into_owned();
-        let mut program = Program { settings, child: None };
-        program.start();
-        programs.push(program);
-    }
-    wait_for_layout(&store).await;
+    let processes = Processes::start(GATEWAYS, 2).await;
     let soak = Arc::new(Soak {
-        store,
-        replicas,
-        clients,
+        store: processes.store.clone(),
+        replicas: processes.replicas.clone(),
+        clients: processes.clients.clone(),
         client: Client::default(),
         next: AtomicU64::new(1),
         seen: Mutex::default(),
         is_over: AtomicBool::new(false),
     });
-    Fleet { soak, programs, folders, _settings: settings, stop }
+    Fleet { soak, processes }
 }
 
 async fn run(seed: u64) {
@@ -430,7 +326,10 @@
             tokio::spawn(async move { soak.play(number, random).await })
         })
         .collect();
-    disturb(&soak, &mut fleet.programs, &fleet.folders, &mut random).await;
+    {
+        let processes = &mut fleet.processes;
+        disturb(&soak, &mut processes.programs, &processes.folders, &mut random).await;
+    }
     soak.is_over.store(true, Ordering::Relaxed);
     for client in playing {
         if let Err(err) = client.await {
@@ -464,12 +363,12 @@
         soak.send(0, "/turn/x", &headers, "x").await.is_some_and(|(s, _)| s == StatusCode::OK)
     })
     .await;
-    fleet.programs[..2].iter().for_each(|program| program.signal(libc::SIGSTOP));
+    fleet.processes.programs[..2].iter().for_each(|program| program.signal(libc::SIGSTOP));
     for _ in 0..3 {
         let status = turn(soak.id()).await;
         assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
     }
-    fleet.programs[..2].iter().for_each(|program| program.signal(libc::SIGCONT));
+    fleet.processes.programs[..2].iter().for_each(|program| program.signal(libc::SIGCONT));
     let give_up = time::Instant::now() + PATIENCE;
     loop {
         match turn(soak.id()).await {
