Bytes without end from a replica cost bounded memory and time

What callers saw, or would have: a gateway ended for want of memory. Sixty answers without an end at a time took 533 MB in endless_answers, where the smallest gateway has 88; a stream of turns that doesn't end was kept whole, and handed over more tokens than were set aside for it.

Cause: each answer was bounded by itself (8 MB), all together by nothing, and the relay kept and recounted all bytes of a stream at each piece: 9,000 events of 119 bytes cost 2.0 s of counting, 1,000 26 ms (a program of its own, -O).

Now all answers that are read or kept share 16 MB (Held): the one that would go beyond ends as an answer that broke off, its connection is closed and the replica examined. Pieces are joined once at the end instead of in a buffer that grows. A refusal's body is read for 20 ms and 16 kB at most before another replica is tried. A stream ends when it has more events than its turn may have tokens, an event of over 1 MB, or 2 MB to keep.

Heads without end were bounded before (28 MB at 60): hyper gives up at 16 kB.

--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -100,7 +100,7 @@
     let began = Instant::now();
     let sent = send(state, job, &job.body, place).await?;
     let status = sent.response.status();
-    let (mut headers, body, lease) = read_whole(job, sent).await?;
+    let (mut headers, body, lease) = read_whole(state, job, sent).await?;
     replica.note_delay(began.elapsed().as_secs_f64() * 1e3);
     note_delay(state, job, began.elapsed(), Duration::ZERO);
     lease.keep(&headers);
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -15,12 +15,20 @@
 use tokio::time::{self, Instant};
 
 use crate::{
+    EventCount, Room,
     admit::{note_delay, note_pace},
     send::Lease,
     state::State,
     walk::Job,
 };
 
+/// Largest event of a stream, in bytes; they have some hundred.
+const EVENT_MAX_BYTES: usize = 1 << 20;
+
+/// Largest answer of a turn that is kept, in bytes: twice the 280,000 tokens
+/// that a whole program may have.
+const TURN_MAX_BYTES: usize = 2 << 20;
+
 /// Others go first for this long after a replica broke a stream off.
 const FAILED_TIME: Duration = Duration::from_millis(1_000);
 
@@ -33,6 +41,10 @@
         Replica(err: hyper::Error) {
             display("the replica broke off: {err}")
         }
+        /// More came than the turn can have: no answer, and not to be kept.
+        Endless {
+            display("more came than the turn can have")
+        }
         /// The deadline passed.
         Late {
             display("the deadline passed")
@@ -49,19 +61,26 @@
     state: Arc<State<D>>,
     job: Arc<Job>,
     /// Events handed to the client.
-    events: u32,
+    events: EventCount,
     is_settled: bool,
 }
 
 impl<D: Deployment> Settle<D> {
     pub(crate) fn new(state: Arc<State<D>>, job: Arc<Job>) -> Self {
         let is_settled = job.route.retention.is_none();
-        Settle { state, job, events: 0, is_settled }
+        Settle { state, job, events: EventCount::default(), is_settled }
     }
 
     /// Tokens handed to the client.
     fn tokens(&self) -> u32 {
-        self.events * self.job.service.event_tokens
+        self.events.whole().saturating_mul(self.job.service.event_tokens)
+    }
+
+    /// Most events that the turn may have, if that is known: what was set aside
+    /// for it, and one for the end.
+    fn events_max(&self) -> Option<u64> {
+        let (most, each) = (self.job.envelope.output_max, self.job.service.event_tokens);
+        (most > 0 && each > 0).then(|| most.div_ceil(u64::from(each)) + 1)
     }
 }
 
@@ -80,8 +99,9 @@
     lease: Option<Lease<D>>,
     headers: HeaderMap,
     upstream: Name,
-    /// All bytes passed on, on routes that keep turns.
-    passed: BytesMut,
+    /// All pieces passed on, on routes that keep turns.
+    passed: Vec<Bytes>,
+    room: Room,
     began: Instant,
     /// History that is kept with another program, and now with this turn too.
     foreign: Option<Bytes>,
@@ -100,12 +120,13 @@
         foreign: Option<Bytes>,
     ) -> Self {
         Relay {
+            room: settle.state.held.room(),
             settle,
             events,
             upstream: lease.replica().upstream.id.name.clone(),
             lease: Some(lease),
             headers,
-            passed: BytesMut::new(),
+            passed: Vec::new(),
             began,
             foreign,
             first: None,
@@ -123,7 +144,7 @@
                 Some(Err(err)) => return Err(RelayError::Replica(err)),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        self.note(&data);
+                        self.note(&data)?;
                         return Ok(Some(data));
                     }
                 }
@@ -134,13 +155,14 @@
         }
         if let Some(first) = self.first {
             let settle = &self.settle;
-            note_pace(&settle.state, &settle.job, settle.events, first.elapsed());
+            note_pace(&settle.state, &settle.job, settle.events.whole(), first.elapsed());
         }
         self.keep().await?;
         Ok(None)
     }
 
-    fn note(&mut self, data: &Bytes) {
+    /// Takes in a piece before it is passed on.
+    fn note(&mut self, data: &Bytes) -> Result<(), RelayError> {
         if self.first.is_none() {
             self.first = Some(Instant::now());
             if let Some(lease) = &self.lease {
@@ -153,8 +175,20 @@
                 }
             }
         }
-        self.passed.extend_from_slice(data);
-        self.settle.events = count_events(&self.passed);
+        let mut events = self.settle.events;
+        events.take(data);
+        let is_beyond = self.settle.events_max().is_some_and(|max| u64::from(events.whole()) > max);
+        if is_beyond || events.open_bytes() > EVENT_MAX_BYTES {
+            return Err(RelayError::Endless);
+        }
+        if self.settle.job.route.retention.is_some() {
+            if !self.room.take(data.len()) || self.room.taken() > TURN_MAX_BYTES {
+                return Err(RelayError::Endless);
+            }
+            self.passed.push(data.clone());
+        }
+        self.settle.events = events;
+        Ok(())
     }
 
     /// Has the turn kept; it counts from then on.
@@ -168,7 +202,7 @@
         let record = TurnRecord {
             turn: job.id().clone(),
             previous,
-            text: turn_text(&input, &self.passed),
+            text: turn_text(&input, &self.passed.concat()),
             upstream: self.upstream.clone(),
             keep_ms: u32::try_from(retention.0.as_millis()).unwrap_or(u32::MAX),
         };
@@ -186,11 +220,13 @@
 
     fn log_end(&self, error: Option<&RelayError>) {
         let job = &self.settle.job;
-        let (id, events, ms) = (job.id(), self.settle.events, job.began.elapsed().as_millis());
+        let (id, events) = (job.id(), self.settle.events.whole());
+        let ms = job.began.elapsed().as_millis();
         let result = match error {
             None => "whole",
             Some(RelayError::Replica(_)) => "replica_broke_off",
             Some(RelayError::Late) => "late",
+            Some(RelayError::Endless) => "endless",
             Some(RelayError::Unkept(_)) => "unkept",
         };
         let metrics = &self.settle.state.metrics;
@@ -199,7 +235,8 @@
         match error {
             None => log::info!("event=streamed request={id} events={events} ms={ms}"),
             Some(err) => {
-                if let (Some(lease), RelayError::Replica(_)) = (&self.lease, err) {
+                let is_broken = matches!(err, RelayError::Replica(_) | RelayError::Endless);
+                if let Some(lease) = self.lease.as_ref().filter(|_| is_broken) {
                     lease.replica().suspect(FAILED_TIME);
                 }
                 log::warn!(
@@ -217,7 +254,8 @@
             return;
         }
         let job = &self.settle.job;
-        let (id, events, ms) = (job.id(), self.settle.events, job.began.elapsed().as_millis());
+        let (id, events) = (job.id(), self.settle.events.whole());
+        let ms = job.began.elapsed().as_millis();
         self.settle.state.metrics.count("streams", &[("result", "client_left")]);
         log::info!(
             "event=client_left request={id} replica={} events={events} ms={ms}",
@@ -251,11 +289,6 @@
     })
 }
 
-/// Whole events in a stream's bytes.
-fn count_events(bytes: &[u8]) -> u32 {
-    bytes.windows(2).filter(|pair| pair == b"\n\n").count() as u32
-}
-
 /// What a turn adds to the chain: its input, then the data of each event and
 /// a line feed.
 fn turn_text(input: &Bytes, events: &[u8]) -> Bytes {
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -5,11 +5,13 @@
 use bytes::Bytes;
 use gg_route::{Deployment, ReplyMarks};
 use http::{HeaderMap, Request, Response, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use quick_error::quick_error;
 use tokio::time::{self, Instant};
 
 use crate::{
+    Room,
     admit::note_full,
     answer::strip_hop_headers,
     crash::Underway,
@@ -26,6 +28,13 @@
 /// Largest answer that is read whole, in bytes.
 const ANSWER_MAX_BYTES: usize = 8 << 20;
 
+/// Largest body of a refusal whose connection is kept, in bytes.
+const REFUSAL_MAX_BYTES: usize = 16 << 10;
+
+/// Longest wait for a refusal's body: another connection costs about as much
+/// as a way and back.
+const REFUSAL_TIME: Duration = Duration::from_millis(20);
+
 /// Others go first for this long after a replica could not be reached or
 /// broke off.
 const FAILED_TIME: Duration = Duration::from_millis(1_000);
@@ -33,6 +42,26 @@
 /// Others go first for this long after a replica was full.
 const FULL_TIME: Duration = Duration::from_millis(60);
 
+quick_error! {
+    /// Why an answer's body was not read whole.
+    #[derive(Debug)]
+    enum BodyError {
+        /// The connection failed.
+        Broke(err: hyper::Error) {
+            from()
+            display("{err}")
+        }
+        /// More than an answer may have.
+        TooLong {
+            display("too long")
+        }
+        /// The answers of all requests take too much memory.
+        NoRoom {
+            display("no memory is left for answers")
+        }
+    }
+}
+
 /// The head of an answer, its body still to be read.
 pub(crate) struct Sent<D: Deployment> {
     pub(crate) response: Response<Incoming>,
@@ -149,9 +178,12 @@
     }
     sent.lease.underway.settle();
     // The refusal stands whatever its body holds; the connection is kept
-    // only if that ends as it should.
-    if let Ok((headers, _, lease)) = read_whole(job, sent).await {
-        lease.keep(&headers);
+    // only if that ends soon.
+    let (head, body) = sent.response.into_parts();
+    let mut room = state.held.room();
+    let reading = collect(body, &mut room, REFUSAL_MAX_BYTES);
+    if let Ok(Ok(_)) = time::timeout(REFUSAL_TIME, reading).await {
+        sent.lease.keep(&head.headers);
     }
     Outcome::Unexecuted
 }
@@ -168,22 +200,46 @@
 
 /// Reads the rest of an answer.
 pub(crate) async fn read_whole<D: Deployment>(
+    state: &State<D>,
     job: &Job,
     sent: Sent<D>,
 ) -> Result<(HeaderMap, Bytes, Lease<D>), Outcome> {
     let (head, body) = sent.response.into_parts();
-    match time::timeout_at(job.deadline, Limited::new(body, ANSWER_MAX_BYTES).collect()).await {
-        Ok(Ok(whole)) => Ok((head.headers, whole.to_bytes(), sent.lease)),
-        Ok(Err(err)) => {
-            log::warn!(
-                "event=answer_broke request={} replica={} error={err}",
-                job.id(),
-                sent.lease.replica().upstream.id.name
-            );
-            sent.lease.replica().suspect(FAILED_TIME);
-            Err(Outcome::Unknown)
+    let mut room = state.held.room();
+    let reading = collect(body, &mut room, ANSWER_MAX_BYTES);
+    let err = match time::timeout_at(job.deadline, reading).await {
+        Ok(Ok(whole)) => return Ok((head.headers, whole, sent.lease)),
+        Ok(Err(err)) => err.to_string(),
+        Err(_) => "no end in time".to_owned(),
+    };
+    log::warn!(
+        "event=answer_broke request={} replica={} bytes={} error={err}",
+        job.id(),
+        sent.lease.replica().upstream.id.name,
+        room.taken()
+    );
+    sent.lease.replica().suspect(FAILED_TIME);
+    Err(Outcome::Unknown)
+}
+
+/// Reads a body of at most `max` bytes into `room`.
+async fn collect(mut body: Incoming, room: &mut Room, max: usize) -> Result<Bytes, BodyError> {
+    // Pieces are joined at the end: a buffer that grows takes up to three times
+    // its content.
+    let mut pieces = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        if room.taken() + data.len() > max {
+            return Err(BodyError::TooLong);
         }
-        Err(_) => Err(Outcome::Unknown),
+        if !room.take(data.len()) {
+            return Err(BodyError::NoRoom);
+        }
+        pieces.push(data);
+    }
+    match pieces.len() {
+        1 => Ok(pieces.swap_remove(0)),
+        _ => Ok(pieces.concat().into()),
     }
 }
 
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -14,7 +14,7 @@
 use gg_protocol::Name;
 use gg_route::{Configuration, RouteTable};
 
-use crate::Fleet;
+use crate::{Fleet, Held};
 
 /// Second sends as a share of answers: beyond it, silence is load, and more
 /// sends would only add to it.
@@ -39,6 +39,8 @@
     pub(crate) hedges: Mutex<RetryBudget>,
     /// Whether new work is let in, by service.
     pub(crate) admissions: Mutex<HashMap<Name, Admission>>,
+    /// Memory that replicas' answers take.
+    pub(crate) held: Held,
     table: RwLock<Option<Arc<RouteTable>>>,
     is_stopping: AtomicBool,
 }
@@ -53,6 +55,7 @@
             ledger,
             fleet: Fleet::default(),
             admissions: Mutex::default(),
+            held: Held::default(),
             table: RwLock::default(),
             is_stopping: AtomicBool::new(false),
         }
@@ -97,6 +100,8 @@
             ("replicas", replicas),
             ("replicas_open", open),
             ("replica_load", load),
+            ("held_bytes", self.held.bytes() as u64),
+            ("crash_facts", self.ledger.crashes().len() as u64),
             ("ledger_ready", u64::from(self.ledger.is_ready())),
             ("ready", u64::from(self.is_ready())),
         ] {
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -50,7 +50,7 @@
         };
         let status = sent.response.status();
         if status != StatusCode::OK {
-            match read_whole(job, sent).await {
+            match read_whole(state, job, sent).await {
                 Ok((mut headers, body, lease)) => {
                     lease.keep(&headers);
                     strip_hop_headers(&mut headers);
