Soak: callers come back with requests that crash replicas

Three callers now come back with such a request (a call without a body, one that may run once, a turn) at any gateway, some leaving before an answer, all the while that faults are played; four replicas crash in six ways and are back as new starts. Checked: after the third crash and contact-ms no more than three retries reach replicas through gateways that were not killed or frozen within that time, and in the end both gateways refuse.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -17,7 +17,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -25,7 +25,7 @@
 use gg_http::Client;
 use http::{Request, StatusCode};
 use processes::{LEDGERS, Processes, Program, wait_for_layout};
-use support::{FakeReplica, FakeStore, Manner, Manners, deployment::configuration};
+use support::{Crash, FakeReplica, FakeStore, Manner, Manners, deployment::configuration};
 use tempfile::TempDir;
 use tokio::time;
 
@@ -33,11 +33,25 @@
 const SEEDS: [u64; 2] = [1, 2];
 
 const GATEWAYS: usize = 2;
+const REPLICAS: usize = 4;
 const CLIENTS: usize = 4;
 
 /// Faults of one run.
 const FAULTS: usize = 14;
 
+/// Requests that crash replicas, each of a caller that comes back with it.
+const POISONS: [(&str, &str); 3] =
+    [("/call/poison", ""), ("/once/x", "once poison"), ("/turn/x", "turn poison")];
+
+/// The users' `contact-ms`, their bound on retries that reach replicas later
+/// than that after the third crash, and a pause between retries.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+const LATE_MAX: usize = 3;
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
+
+/// Time after which a crashed replica is back.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+
 /// Longest time for a turn that has to come about.
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -66,6 +80,8 @@
     next: AtomicU64,
     seen: Mutex<Seen>,
     is_over: AtomicBool,
+    /// When each gateway was last killed, frozen or started.
+    disturbed: Mutex<[Instant; GATEWAYS]>,
 }
 
 impl Soak {
@@ -200,6 +216,71 @@
         }
     }
 
+    fn note_disturbed(&self, gateway: usize) {
+        self.disturbed.lock().expect("lock")[gateway] = Instant::now();
+    }
+
+    /// Replicas that ran a request.
+    fn ran(&self, id: &str) -> usize {
+        self.replicas.iter().filter(|replica| replica.runs().iter().any(|run| run.id == id)).count()
+    }
+
+    /// One caller that comes back with a request that crashes replicas, at any
+    /// gateway, until all is over; then both gateways have to refuse it.
+    async fn insist(&self, (path, body): (&str, &str), mut random: Random) {
+        let mut crashed = 0;
+        let mut third: Option<Instant> = None;
+        let mut late = 0;
+        let mut refused = 0;
+        let give_up = Instant::now() + PATIENCE;
+        while !self.is_over.load(Ordering::Relaxed) || refused < 2 * GATEWAYS {
+            let gateway = random.between(0, GATEWAYS as u64) as usize;
+            let id = self.id();
+            let headers = [("request-id", id.as_str()), ("request-deadline", "800")];
+            let began = Instant::now();
+            let sending = self.send(gateway, path, &headers, body);
+            let patience = Duration::from_millis(random.between(100, 1_500));
+            let reply = time::timeout(patience, sending).await.ok().flatten();
+            let is_over = self.is_over.load(Ordering::Relaxed);
+            let is_refused = reply.is_some_and(|(_, body)| body.contains("crashed"));
+            refused = if is_refused && is_over { refused + 1 } else { 0 };
+            time::sleep(RETRY_PAUSE).await;
+            let ran = self.ran(&id);
+            crashed += ran;
+            // A gateway that has just come back learns what others know.
+            let calm = began.duration_since(self.disturbed.lock().expect("lock")[gateway]);
+            let is_late = third.is_some_and(|third| began > third + CONTACT_TIME);
+            late += usize::from(ran > 0 && is_late && calm > CONTACT_TIME);
+            if third.is_none() && crashed >= 3 {
+                third = Some(Instant::now());
+            }
+            assert!(late <= LATE_MAX, "{path} {body}: {late} late retries, {crashed} crashes");
+            assert!(Instant::now() < give_up, "{path} {body}: not refused in the end");
+        }
+        println!("{path} {body}: {crashed} crashes, {late} late retries");
+    }
+
+    /// Brings crashed replicas back as other starts that crash in other ways.
+    async fn revive(&self, mut random: Random) {
+        const CRASHES: [Crash; 6] = [
+            Crash::Reset,
+            Crash::Close,
+            Crash::Silence,
+            Crash::HalfHead,
+            Crash::HalfBody,
+            Crash::Garbage,
+        ];
+        loop {
+            time::sleep(DOWN_TIME / 3).await;
+            for replica in self.replicas.iter().filter(|replica| replica.is_down()) {
+                time::sleep(DOWN_TIME).await;
+                replica.set_crash(CRASHES[random.between(0, CRASHES.len() as u64) as usize]);
+                replica.revive(false).await;
+                self.store.put("servers", &replica.name, replica.entry("app", "ready"));
+            }
+        }
+    }
+
     /// Bodies with which replicas ran a request.
     fn runs(&self, id: &str) -> Vec<String> {
         let runs = self.replicas.iter().flat_map(FakeReplica::runs);
@@ -254,17 +335,20 @@
             3 => {
                 programs[gateway].kill();
                 programs[gateway].start();
+                soak.note_disturbed(gateway - LEDGERS);
             }
             4 => {
                 programs[gateway].signal(libc::SIGSTOP);
                 time::sleep(pause).await;
                 programs[gateway].signal(libc::SIGCONT);
+                soak.note_disturbed(gateway - LEDGERS);
             }
             5 => {
                 for program in programs.iter_mut() {
                     program.kill();
                 }
                 programs.iter_mut().for_each(Program::start);
+                (0..GATEWAYS).for_each(|gateway| soak.note_disturbed(gateway));
             }
             6 => {
                 let manners = match random.between(0, 4) {
@@ -302,7 +386,7 @@
 }
 
 async fn start() -> Fleet {
-    let processes = Processes::start(GATEWAYS, 2).await;
+    let processes = Processes::start(GATEWAYS, REPLICAS).await;
     let soak = Arc::new(Soak {
         store: processes.store.clone(),
         replicas: processes.replicas.clone(),
@@ -311,6 +395,7 @@
         next: AtomicU64::new(1),
         seen: Mutex::default(),
         is_over: AtomicBool::new(false),
+        disturbed: Mutex::new([Instant::now(); GATEWAYS]),
     });
     Fleet { soak, processes }
 }
@@ -319,6 +404,16 @@
     let mut fleet = start().await;
     let soak = fleet.soak.clone();
     let mut random = Random::new(seed);
+    let reviving = {
+        let (soak, random) = (soak.clone(), Random::new(seed + 500_000));
+        tokio::spawn(async move { soak.revive(random).await })
+    };
+    let insisting = POISONS.into_iter().enumerate().map(|(number, poison)| {
+        let soak = soak.clone();
+        let random = Random::new(seed * 1_000 + 500 + number as u64);
+        tokio::spawn(async move { soak.insist(poison, random).await })
+    });
+    let insisting: Vec<_> = insisting.collect();
     let playing: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let soak = soak.clone();
@@ -331,11 +426,12 @@
         disturb(&soak, &mut processes.programs, &processes.folders, &mut random).await;
     }
     soak.is_over.store(true, Ordering::Relaxed);
-    for client in playing {
+    for client in playing.into_iter().chain(insisting) {
         if let Err(err) = client.await {
             panic!("seed {seed}: {err}");
         }
     }
+    reviving.abort();
     soak.check_calls();
     let seen = soak.seen.lock().expect("lock");
     println!("seed {seed}: {} programs, {} calls", seen.tokens.len(), seen.sent.len());
