Daemon: crashes are named and added up, and stored once the platform is back

Two daemons that saw one crash each at the same moment both knew of one, since the larger number won; and a crash that the platform did not take was told to the peers of that moment and never stored.

A crash has a name now (engine and its start). Daemons, peers and the platform's object put names together, and a daemon goes on storing until the platform has them. Objects of earlier versions hold a number, which is read as that many.

--- a/crates/gg-daemon/src/api.rs
+++ b/crates/gg-daemon/src/api.rs
@@ -166,8 +166,8 @@
         Ok(())
     }
 
-    async fn crashed(&self, content: String, count: u32) -> RpcResult<()> {
-        lock(&self.shared.quarantine).raise(&content, count);
+    async fn crashed(&self, content: String, crashes: Vec<String>) -> RpcResult<()> {
+        lock(&self.shared.quarantine).note(&content, crashes);
         Ok(())
     }
 }
--- a/crates/gg-daemon/src/config.rs
+++ b/crates/gg-daemon/src/config.rs
@@ -183,18 +183,20 @@
     }
 }
 
-/// Key of the object that counts the crashes of a content.
+/// Key of the object that names the crashes of a content, one a line.
 pub(crate) fn crash_key(content: &str) -> String {
     format!("{CRASH_PREFIX}{content}")
 }
 
-/// Prefix of crash counts in the platform.
+/// Prefix of crashes in the platform.
 pub(crate) const CRASH_PREFIX: &str = "crash/";
 
-/// Takes a stored crash count in.
+/// Takes stored crashes in. Earlier versions stored only how many there were.
 pub(crate) fn read_crash(quarantine: &mut Quarantine, key: &str, body: &[u8]) {
-    let count = std::str::from_utf8(body).ok().and_then(|text| text.parse().ok());
-    if let (Some(content), Some(count)) = (key.strip_prefix(CRASH_PREFIX), count) {
-        quarantine.raise(content, count);
+    let Some(content) = key.strip_prefix(CRASH_PREFIX) else { return };
+    let text = String::from_utf8_lossy(body);
+    match text.parse::<u32>() {
+        Ok(count) => quarantine.note(content, (0..count).map(|n| format!("unnamed/{n}"))),
+        Err(_) => quarantine.note(content, text.lines().map(str::to_owned)),
     }
 }
--- a/crates/gg-daemon/src/crash.rs
+++ b/crates/gg-daemon/src/crash.rs
@@ -7,12 +7,19 @@
 use gg_protocol::Name;
 use tokio::{task::JoinSet, time};
 
-use crate::{config::crash_key, lock::lock, shared::Shared};
+use crate::{
+    config::{crash_key, read_crash},
+    lock::lock,
+    shared::Shared,
+};
 
 /// Longest time that the peers get to hear of a crash before the caller
 /// gets its answer.
 const NEWS_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Pause before crashes that the platform did not take are stored again.
+const STORE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Longest wait for a sign of life of an engine that may have crashed.
 const SIGN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -26,55 +33,78 @@
     }
 }
 
-/// Whether the engine went down, rather than just the connection.
-pub(crate) async fn has_crashed(shared: &Shared, upstream: &Name, address: &str) -> bool {
+/// The name of the crash, if the engine went down rather than just the
+/// connection.
+pub(crate) async fn find(shared: &Shared, upstream: &Name, address: &str) -> Option<String> {
     let known = lock(&shared.epochs).remove(upstream);
-    match time::timeout(SIGN_TIMEOUT, shared.engine.state(address)).await {
-        Ok(Ok(state)) => known.is_some_and(|known| known != state.epoch),
-        _ => true,
+    if let Ok(Ok(state)) = time::timeout(SIGN_TIMEOUT, shared.engine.state(address)).await
+        && known.as_ref().is_none_or(|known| *known == state.epoch)
+    {
+        return None;
     }
+    // Another call that was lost with it has taken the epoch.
+    let start = known.unwrap_or_else(|| format!("{:x}", rand::random::<u64>()));
+    Some(format!("{upstream}/{start}"))
 }
 
-/// Counts a crash for `content`: here, in the platform and at all peers.
-/// Returns the new count.
-pub(crate) async fn note(shared: &Arc<Shared>, content: &str) -> u32 {
-    let mut count = lock(&shared.quarantine).count(content) + 1;
-    lock(&shared.quarantine).raise(content, count);
-    if let Ok(stored) = store(shared, content).await {
-        count = count.max(stored);
-        lock(&shared.quarantine).raise(content, count);
+/// Notes a crash that `content` was in: here, in the platform and at all
+/// peers. Returns how many there are now.
+pub(crate) async fn note(shared: &Arc<Shared>, content: &str, crash: String) -> usize {
+    lock(&shared.quarantine).note(content, [crash]);
+    if let Err(err) = store(shared, content).await {
+        log::warn!("event=crash_not_stored content={content} error={err}");
+        tokio::spawn(keep_storing(shared.clone(), content.to_owned()));
     }
-    let _ = time::timeout(NEWS_TIMEOUT, tell_peers(shared, content, count)).await;
-    count
+    let _ = time::timeout(NEWS_TIMEOUT, tell_peers(shared, content)).await;
+    lock(&shared.quarantine).count(content)
 }
 
-/// Raises the stored count by one and returns it.
-async fn store(shared: &Shared, content: &str) -> Result<u32, PlatformError> {
+/// Stores crashes once the platform takes them.
+async fn keep_storing(shared: Arc<Shared>, content: String) {
+    while store(&shared, &content).await.is_err() {
+        time::sleep(STORE_PAUSE).await;
+    }
+    log::info!("event=crash_stored content={content}");
+}
+
+/// Puts what is stored and what is known here together, in both places.
+async fn store(shared: &Shared, content: &str) -> Result<(), PlatformError> {
     let key = crash_key(content);
     loop {
         let found = shared.platform.get(&key).await?;
-        let when = found.as_ref().map_or(When::Absent, |found| When::Version(found.version));
-        let known = found.and_then(|found| std::str::from_utf8(&found.body).ok()?.parse().ok());
-        let count: u32 = known.unwrap_or(0) + 1;
-        match shared.platform.put(&key, count.to_string().into(), when).await {
-            Ok(_) => return Ok(count),
+        let body = {
+            let mut quarantine = lock(&shared.quarantine);
+            if let Some(found) = &found {
+                read_crash(&mut quarantine, &key, &found.body);
+            }
+            quarantine.crashes(content).join("\n")
+        };
+        let when = match found {
+            Some(found) if found.body == body.as_bytes() => return Ok(()),
+            Some(found) => When::Version(found.version),
+            None => When::Absent,
+        };
+        match shared.platform.put(&key, body.into(), when).await {
+            Ok(_) => return Ok(()),
             Err(PlatformError::Conflict(_)) => {}
             Err(err) => return Err(err),
         }
     }
 }
 
-async fn tell_peers(shared: &Arc<Shared>, content: &str, count: u32) {
+async fn tell_peers(shared: &Arc<Shared>, content: &str) {
+    let crashes = lock(&shared.quarantine).crashes(content);
     let mut told = JoinSet::new();
     for peer in shared.membership.live() {
         if peer.name == shared.settings.instance {
             continue;
         }
-        let shared = shared.clone();
+        let (shared, crashes) = (shared.clone(), crashes.clone());
         let content = content.to_owned();
         told.spawn(async move {
             if let Ok(client) = shared.peers.get(&peer.address).await {
-                let _ = client.crashed(content, count).await;
+                // A peer that is away reads it from the platform.
+                let _ = client.crashed(content, crashes).await;
             }
         });
     }
--- a/crates/gg-daemon/src/step/model.rs
+++ b/crates/gg-daemon/src/step/model.rs
@@ -216,11 +216,14 @@
                 Attempt::Again { reason, generated: true }
             }
             EngineError::Lost(_) => {
-                let crashed = crash::has_crashed(self.shared(), &upstream, &address).await;
-                slot.finish(if crashed { SlotOutcome::Crashed } else { SlotOutcome::Failed });
-                if crashed {
+                let crash = crash::find(self.shared(), &upstream, &address).await;
+                slot.finish(match crash {
+                    Some(_) => SlotOutcome::Crashed,
+                    None => SlotOutcome::Failed,
+                });
+                if let Some(crash) = crash {
                     let content = self.content(call, prompt);
-                    let count = crash::note(self.shared(), &content).await;
+                    let count = crash::note(self.shared(), &content, crash).await;
                     log::warn!(
                         "event=crash replica={upstream} program={} turn={} content={content} \
                          count={count}",
--- a/crates/gg-dispatch/src/quarantine.rs
+++ b/crates/gg-dispatch/src/quarantine.rs
@@ -1,6 +1,6 @@
 //! Contents that were under way when an upstream crashed.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// What may be done with a content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,18 +14,19 @@
 }
 
 /// Crashes that a content may be in before it is quarantined.
-const CRASHES_MAX: u32 = 2;
+const CRASHES_MAX: usize = 2;
 
-/// Crash counts by content digest.
+/// Crashes by content digest. Each crash has a name, so that what several
+/// daemons saw is put together by adding, never by comparing counts.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    crashes: HashMap<String, u32>,
+    crashes: HashMap<String, BTreeSet<String>>,
 }
 
 impl Quarantine {
     /// What may be done with `content`.
     pub fn verdict(&self, content: &str) -> Verdict {
-        match self.crashes.get(content).copied().unwrap_or(0) {
+        match self.count(content) {
             0 => Verdict::Free,
             count if count < CRASHES_MAX => Verdict::Alone,
             _ => Verdict::Quarantined,
@@ -33,13 +34,17 @@
     }
 
     /// Crashes that `content` was in.
-    pub fn count(&self, content: &str) -> u32 {
-        self.crashes.get(content).copied().unwrap_or(0)
+    pub fn count(&self, content: &str) -> usize {
+        self.crashes.get(content).map_or(0, BTreeSet::len)
     }
 
-    /// Raises the count of `content`; counts never fall.
-    pub fn raise(&mut self, content: &str, count: u32) {
-        let known = self.crashes.entry(content.to_owned()).or_insert(0);
-        *known = (*known).max(count);
+    /// Names of the crashes that `content` was in.
+    pub fn crashes(&self, content: &str) -> Vec<String> {
+        self.crashes.get(content).into_iter().flatten().cloned().collect()
+    }
+
+    /// Takes in crashes that `content` was in.
+    pub fn note(&mut self, content: &str, crashes: impl IntoIterator<Item = String>) {
+        self.crashes.entry(content.to_owned()).or_default().extend(crashes);
     }
 }
--- a/crates/gg-dispatch/tests/dispatcher.rs
+++ b/crates/gg-dispatch/tests/dispatcher.rs
@@ -163,13 +163,27 @@
 fn two_crashes_at_most() {
     let mut quarantine = Quarantine::default();
     assert_eq!(quarantine.verdict("x"), Verdict::Free);
-    quarantine.raise("x", 1);
+    quarantine.note("x", ["e0/1".to_owned()]);
+    quarantine.note("x", ["e0/1".to_owned()]);
     assert_eq!(quarantine.verdict("x"), Verdict::Alone);
-    quarantine.raise("x", 2);
-    quarantine.raise("x", 1);
+    quarantine.note("x", ["e1/1".to_owned()]);
+    quarantine.note("x", ["e0/1".to_owned()]);
     assert_eq!(quarantine.verdict("x"), Verdict::Quarantined);
 }
 
+/// Two daemons that each saw one crash at the same moment know of two.
+#[test]
+fn crashes_add_up() {
+    let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
+    one.note("x", ["e0/1".to_owned()]);
+    other.note("x", ["e1/1".to_owned()]);
+    let (told, heard) = (one.crashes("x"), other.crashes("x"));
+    one.note("x", heard);
+    other.note("x", told);
+    assert_eq!(one.verdict("x"), Verdict::Quarantined);
+    assert_eq!(other.verdict("x"), Verdict::Quarantined);
+}
+
 proptest! {
     /// Taking a member away moves only what that member owned.
     #[test]
--- a/crates/gg-peer/src/api.rs
+++ b/crates/gg-peer/src/api.rs
@@ -79,7 +79,7 @@
     #[method(name = "unhold")]
     async fn unhold(&self, journal: JournalId, upto: u64) -> RpcResult<()>;
 
-    /// Tells that a content was in crashes.
+    /// Tells which crashes a content was in.
     #[method(name = "crashed")]
-    async fn crashed(&self, content: String, count: u32) -> RpcResult<()>;
+    async fn crashed(&self, content: String, crashes: Vec<String>) -> RpcResult<()>;
 }
--- a/tests/upstreams.rs
+++ b/tests/upstreams.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use gg_fakes::{CRASH_MARK, EngineCosts, Fleet, FleetSettings, Told};
+use gg_fakes::{CRASH_MARK, EngineCosts, Faults, Fleet, FleetSettings, Told};
 use http::Method;
 use serde_json::json;
 use tokio::{task::JoinSet, time};
@@ -47,6 +47,23 @@
     assert!(crashes(&fleet) <= 2, "{} crashes", crashes(&fleet));
 }
 
+/// Crashes that the platform could not take are stored once it is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_outlive_outage() {
+    let fleet = support::fleet(FleetSettings { engines: 3, ..Default::default() }).await;
+    let caller = fleet.caller("ukhozi");
+    let program = caller.start("urgent", None).await.expect("a program");
+    fleet.platform.set_faults(Faults { outage: true, ..Faults::default() });
+    caller.turn(&program, 0, &format!("a label with {CRASH_MARK}"), 8).await;
+    assert!(crashes(&fleet) > 0, "it has run");
+    fleet.platform.set_faults(Faults::default());
+    let give_up = time::Instant::now() + Duration::from_secs(30);
+    while fleet.platform.keys("crash/").is_empty() {
+        assert!(time::Instant::now() < give_up, "the crash is never stored");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_takes_nothing() {
     let fleet = support::fleet(FleetSettings::default()).await;
