Gateway: one check at a time whether a start that counts as crashed lives

Each answer of a start that counted as crashed began a check of two seconds of its own: at 250 answers a second 500 tasks waited for the same thing. One is enough for a replica.

--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -98,7 +98,7 @@
             let content = content(&self.job);
             self.state.ledger.note_crash(CrashFact::Sound { content }, Duration::ZERO);
         }
-        if has_crashed {
+        if has_crashed && !self.replica.set_confirming(true) {
             let (state, replica) = (self.state.clone(), self.replica.clone());
             tokio::spawn(confirm_alive(state, replica, self.began));
         }
@@ -144,6 +144,7 @@
         let fact = CrashFact::Alive { start: start_of(&replica) };
         state.ledger.note_crash(fact, began.elapsed());
     }
+    replica.set_confirming(false);
 }
 
 /// Name of a replica's start.
--- a/crates/gg-gateway/src/replica.rs
+++ b/crates/gg-gateway/src/replica.rs
@@ -51,6 +51,8 @@
     belief: Mutex<Belief>,
     /// When it was last tried whether it can be reached, and whether it was.
     reached: tokio::sync::Mutex<Option<(Instant, bool)>>,
+    /// It is being made sure of that it has not crashed.
+    confirming: AtomicBool,
     service_load: Arc<ServiceLoad>,
 }
 
@@ -72,6 +74,7 @@
             leaving: AtomicBool::new(upstream.state == UpstreamState::Draining),
             belief: Mutex::default(),
             reached: tokio::sync::Mutex::default(),
+            confirming: AtomicBool::new(false),
             service_load,
             upstream,
         }
@@ -130,6 +133,12 @@
         }
     }
 
+    /// Begins or ends to make sure that it has not crashed; returns whether
+    /// that was under way.
+    pub(crate) fn set_confirming(&self, is_confirming: bool) -> bool {
+        self.confirming.swap(is_confirming, Ordering::Relaxed)
+    }
+
     /// Whether it has read the shared beginning of a prompt.
     pub(crate) fn is_warm(&self, prefix: &str) -> bool {
         lock(&self.belief).warm.contains(prefix)
