Crashes of a replica that does not say when it was started are told apart

Cause: crashes are counted by start, and all starts of such a replica have the same name, so that three crashes counted as one or two.

Each request that was lost now names a crash of its own where starts can't be told apart.

--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -162,6 +162,11 @@
         id.born_ms
     );
     state.metrics.count("crashes_suspected", &[("evidence", evidence)]);
-    let start = start_of(replica);
+    // Without a time the starts of one name can't be told apart; each request
+    // that was lost then stands for one.
+    let start = match id.born_ms {
+        0 => format!("{}/{request}", id.name).as_str().into(),
+        _ => start_of(replica),
+    };
     state.ledger.note_crash(CrashFact::Crashed { content, start }, Duration::ZERO);
 }
