Daemon: the configuration found at the start comes into force whole

Cause: documents were put in force one by one as they were read, and a daemon counts as ready with the first of them; customers' are read last. And a daemon that knew no configuration at all said 401 too, where it can't tell.

Now all documents that a list names are read and then put in force together. A daemon without any configuration answers 503 with when to come back.

--- a/crates/gg-caller/src/backend.rs
+++ b/crates/gg-caller/src/backend.rs
@@ -10,6 +10,9 @@
     /// The customer whose key this is.
     fn customer(&self, key: &str) -> Option<Name>;
 
+    /// Whether a configuration is known; without one no key is.
+    fn is_configured(&self) -> bool;
+
     /// Accepts a program.
     fn start(
         &self,
--- a/crates/gg-caller/src/routes.rs
+++ b/crates/gg-caller/src/routes.rs
@@ -57,10 +57,19 @@
     }
 }
 
+/// When a caller may come back that came before any configuration, in ms: some
+/// reads of the platform later.
+const UNCONFIGURED_RETRY_MS: u64 = 300;
+
 fn authenticate<B: Backend>(backend: &B, headers: &HeaderMap) -> Result<Name, Failure> {
     let value = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
     let key = value.and_then(|value| value.strip_prefix("Bearer "));
     key.and_then(|key| backend.customer(key.trim())).ok_or_else(|| {
+        if !backend.is_configured() {
+            let message = "no configuration is known yet";
+            return Failure::not_run(Code::PlatformUnavailable, message)
+                .retry_in(UNCONFIGURED_RETRY_MS);
+        }
         Failure::not_run(Code::Unauthorized, "the key is missing or not valid")
             .help("send Authorization: Bearer KEY with a key of your account")
     })
--- a/crates/gg-daemon/src/entry.rs
+++ b/crates/gg-daemon/src/entry.rs
@@ -303,6 +303,10 @@
         self.shared.config.get().customer_of(key)
     }
 
+    fn is_configured(&self) -> bool {
+        self.shared.config.get().revision > 0
+    }
+
     async fn start(&self, request: StartRequest) -> Result<StartReply, Failure> {
         match request.parent.clone() {
             Some(parent) => self.ask(&parent, &request).await,
--- a/crates/gg-daemon/src/tasks.rs
+++ b/crates/gg-daemon/src/tasks.rs
@@ -131,8 +131,9 @@
     }
 }
 
-/// Reads every document that is newer than what is in force. Returns the
-/// revision of the listing.
+/// Reads every document that is newer than what is in force, and puts them in
+/// force together: a daemon that has just started is ready with all of them or
+/// with none. Returns the revision of the listing.
 pub(crate) async fn load_config(shared: &Shared) -> Result<u64, gg_platform::PlatformError> {
     let listing = shared.platform.list(PREFIX).await?;
     let current = shared.config.get();
@@ -140,22 +141,28 @@
         let key = item.key.strip_prefix(PREFIX).unwrap_or("");
         current.documents().get(key).is_none_or(|known| known.version < item.version)
     });
+    let mut news = Vec::new();
     for item in newer {
-        read_document(shared, &item.key).await?;
+        news.extend(read_document(shared, &item.key).await?);
     }
+    shared.config.apply(news);
     Ok(listing.revision)
 }
 
-async fn read_document(shared: &Shared, key: &str) -> Result<(), gg_platform::PlatformError> {
-    let Some(found) = shared.platform.get(key).await? else { return Ok(()) };
-    let Some(name) = key.strip_prefix(PREFIX) else { return Ok(()) };
+/// A document as the platform has it; none if it is gone or can't be read.
+async fn read_document(
+    shared: &Shared,
+    key: &str,
+) -> Result<Option<(Name, Versioned)>, gg_platform::PlatformError> {
+    let Some(found) = shared.platform.get(key).await? else { return Ok(None) };
+    let Some(name) = key.strip_prefix(PREFIX) else { return Ok(None) };
     match serde_json::from_slice::<Doc>(&found.body) {
-        Ok(doc) => {
-            shared.config.apply(vec![(name.into(), Versioned { version: found.version, doc })]);
+        Ok(doc) => Ok(Some((name.into(), Versioned { version: found.version, doc }))),
+        Err(err) => {
+            log::error!("event=config_unreadable key={key} error={:?}", err.to_string());
+            Ok(None)
         }
-        Err(err) => log::error!("event=config_unreadable key={key} error={:?}", err.to_string()),
     }
-    Ok(())
 }
 
 /// Watches configuration and crash counts.
@@ -201,7 +208,9 @@
 
 async fn read_changed(shared: &Shared, key: &str) -> Result<(), gg_platform::PlatformError> {
     if key.starts_with(PREFIX) {
-        return read_document(shared, key).await;
+        let news = read_document(shared, key).await?;
+        shared.config.apply(news.into_iter().collect());
+        return Ok(());
     }
     if key.starts_with(CRASH_PREFIX)
         && let Some(found) = shared.platform.get(key).await?
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use gg_fakes::{Faults, Fleet, FleetSettings};
+use gg_fakes::{Faults, Fleet, FleetSettings, Told};
 use gg_operator::{OperatorClient, OperatorError};
 use tokio::time;
 
@@ -107,3 +107,22 @@
     fleet.restart(1);
     in_force(&fleet, accepted[0].version).await;
 }
+
+/// A daemon that starts again while the platform is slow turns no caller away
+/// for a key that it has not read yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_knows_keys() {
+    let mut fleet = support::fleet(FleetSettings::default()).await;
+    fleet.platform.set_faults(Faults { delay: Duration::from_millis(40), ..Faults::default() });
+    fleet.restart(1);
+    for customer in ["ukhozi", "nyabugogo"] {
+        let caller = fleet.caller_of(customer, 1);
+        let give_up = time::Instant::now() + Duration::from_secs(30);
+        while let Err(told) = caller.start("urgent", None).await {
+            let is_denied = matches!(&told, Told::Refused { status: 401, .. });
+            assert!(!is_denied, "a valid key is refused: {told:?}");
+            assert!(time::Instant::now() < give_up, "not served: {told:?}");
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
