Requests that only ran beside a crashing one are not refused for it

Cause of what a test shows: all contents that are under way when a replica crashes are counted alike, and a request was counted even if the gateway knew already that the replica had crashed before it was sent. A sound request that three times was on a replica that another one crashed was refused for good, and as it was never sent again, nothing could clear it.

Now a content that crashed as many replicas or more explains the crashes that both were in: only those that it does not explain count. Of two that are equal neither is refused, and the next attempt shows which of them it is, by an answer or by a crash. With five crashes a content is refused whatever ran beside it, so that contents that always run together are not sent more than twice beyond the third crash, within the users' three. A request that was sent after its replica was known to have crashed is not counted.

--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -111,18 +111,31 @@
         let Ok(runtime) = Handle::try_current() else { return };
         if !self.is_settled {
             let (state, job) = (self.state.clone(), self.job.clone());
-            runtime.spawn(examine(state, job, self.replica.clone()));
+            runtime.spawn(examine(state, job, self.replica.clone(), self.began));
         }
     }
 }
 
-/// Finds out whether a replica crashed and has all gateways know.
-async fn examine<D: Deployment>(state: Arc<State<D>>, job: Arc<Job>, replica: Arc<Replica>) {
+/// Finds out whether a replica crashed beneath a request that was sent at
+/// `sent`, and has all gateways know.
+async fn examine<D: Deployment>(
+    state: Arc<State<D>>,
+    job: Arc<Job>,
+    replica: Arc<Replica>,
+    sent: Instant,
+) {
     let began = Instant::now();
     time::sleep(CHECK_DELAY).await;
     let id = &replica.upstream.id;
     let (request, content) = (job.id().clone(), content(&job));
     drop(job);
+    if state.ledger.crashes().has_crashed(&start_of(&replica), sent) {
+        log::info!(
+            "event=crash_dismissed request={request} replica={} reason=crashed_before",
+            id.name
+        );
+        return;
+    }
     if !replica.is_reachable(began).await {
         report(&state, &request, content, &replica, "unreachable");
         return;
@@ -132,7 +145,9 @@
     }
     match state.fleet.is_replaced(&replica) {
         true => report(&state, &request, content, &replica, "restarted"),
-        false => log::info!("event=crash_dismissed request={request} replica={}", id.name),
+        false => {
+            log::info!("event=crash_dismissed request={request} replica={} reason=answers", id.name)
+        }
     }
 }
 
--- a/crates/gg-ledger/src/crashes.rs
+++ b/crates/gg-ledger/src/crashes.rs
@@ -19,6 +19,11 @@
 /// could stop requests that only ran beside the one that crashes replicas.
 const CRASHES_MAX: usize = 3;
 
+/// Crashes after which a content is not sent any more whatever else ran beside
+/// it. Contents that always run together can't be told apart, and the users
+/// allow three more.
+const CRASHES_LIMIT: usize = 5;
+
 /// A fact is remembered for this long.
 const KEEP_TIME: Duration = Duration::from_secs(3_600);
 
@@ -244,16 +249,36 @@
     /// replicas, or its like did at several callers. One caller's crashes
     /// alone don't stop another one, whose request may mean something else.
     pub fn is_refused(&self, content: Content) -> bool {
-        if self.count(content) >= CRASHES_MAX {
-            return true;
-        }
         let mut callers = HashSet::new();
-        let mut starts = HashSet::new();
+        let (mut own, mut all) = (HashSet::new(), HashSet::new());
         for (alike, start) in self.alike(content) {
             callers.insert(alike.caller);
-            starts.insert(start);
+            all.insert(start);
+            if alike == content {
+                own.insert(start);
+            }
+        }
+        self.is_cause(content, &own) || (callers.len() > 1 && self.is_cause(content, &all))
+    }
+
+    /// Whether a content crashed enough of these starts. One that is known to
+    /// crash replicas, as often at least, explains the crashes that both were
+    /// in; if they are equal, whichever runs next shows which of them it is.
+    fn is_cause(&self, content: Content, starts: &HashSet<&Name>) -> bool {
+        if !(CRASHES_MAX..CRASHES_LIMIT).contains(&starts.len()) {
+            return starts.len() >= CRASHES_LIMIT;
+        }
+        let mut others: HashMap<Content, HashSet<&Name>> = HashMap::new();
+        for fact in self.facts.keys() {
+            if let CrashFact::Crashed { content: other, start } = fact
+                && !other.is_like(&content)
+            {
+                others.entry(*other).or_default().insert(start);
+            }
         }
-        callers.len() > 1 && starts.len() >= CRASHES_MAX
+        others.retain(|_, crashed| crashed.len() >= starts.len());
+        let is_explained = |start: &&&Name| others.values().any(|crashed| crashed.contains(*start));
+        starts.iter().filter(|start| !is_explained(start)).count() >= CRASHES_MAX
     }
 
     /// Whether any content with this head crashed a replica. Heads are short,
--- a/crates/gg-ledger/tests/crashes.rs
+++ b/crates/gg-ledger/tests/crashes.rs
@@ -58,6 +58,31 @@
     assert_eq!(refused(&[(1, 1), (2, 1), (3, 1)]), [false; 3], "one start, three at once");
 }
 
+/// What only ran beside a content that crashes replicas is not refused for it;
+/// contents that always run together both are, in the end.
+#[test]
+fn neighbours_are_spared() {
+    let now = Instant::now();
+    let refused = |told: &[(u64, u64)]| {
+        let mut crashes = Crashes::default();
+        for (head, start) in told {
+            crashes.learn(&crashed(*head, *start), Duration::ZERO, now);
+        }
+        [1, 2].map(|head| crashes.is_refused(content(head)))
+    };
+    let beside = [(1, 1), (1, 2), (1, 3), (2, 1), (2, 2), (2, 3)];
+    assert_eq!(refused(&beside), [false, false], "the next one shows which it is");
+    let shown = [&beside[..], &[(1, 4)]].concat();
+    assert_eq!(refused(&shown), [true, false]);
+    let apart = [&beside[..], &[(1, 4), (2, 5)]].concat();
+    assert_eq!(refused(&apart), [false, false]);
+    let more = [&apart[..], &[(2, 6)]].concat();
+    assert_eq!(refused(&more), [false, true]);
+    let always = [&beside[..], &[(1, 4), (2, 4), (1, 5), (2, 5)]].concat();
+    assert_eq!(refused(&always), [true, true]);
+    assert_eq!(refused(&[(1, 1), (1, 2), (1, 3), (2, 1), (2, 2)]), [true, false]);
+}
+
 /// Two sets that tell each other of news fall silent, although ages grow with
 /// each message.
 #[test]
