Contents that ran on a crashed start are found by the start

Whether other contents explain a crash was found by going through all facts at each check: with the 16,384 that a set may hold, and a caller that asks again and again what is refused, that is work for nothing. Facts are indexed by the start that crashed; a check looks at what ran on three or four of them. No decision changed: the eleven tests of crashes.rs (gg-ledger) passed.

--- a/crates/gg-ledger/src/crashes.rs
+++ b/crates/gg-ledger/src/crashes.rs
@@ -143,12 +143,20 @@
     serial: u64,
 }
 
+#[derive(Clone, Debug)]
+struct CrashedStart {
+    /// When it last counted as crashed.
+    at: Instant,
+    /// What it ran then.
+    contents: HashSet<Content>,
+}
+
 /// A set of facts.
 #[derive(Clone, Debug, Default)]
 pub struct Crashes {
     facts: BTreeMap<CrashFact, Stamp>,
-    /// Starts that count as crashed, and when they last did.
-    starts: HashMap<Name, Instant>,
+    /// The same by start, for those that count as crashed.
+    starts: HashMap<Name, CrashedStart>,
     /// Serial of the newest fact.
     last: u64,
 }
@@ -171,9 +179,8 @@
         }
         self.last += 1;
         match fact {
-            CrashFact::Crashed { start, .. } => {
-                let known = self.starts.entry(start.clone()).or_insert(at);
-                *known = at.max(*known);
+            CrashFact::Crashed { content, start } => {
+                note_start(&mut self.starts, *content, start, at);
             }
             CrashFact::Alive { .. } | CrashFact::Sound { .. } => {
                 self.facts.retain(|known, stamp| stamp.at > at || !fact.clears(known));
@@ -199,16 +206,15 @@
     fn index_starts(&mut self) {
         self.starts.clear();
         for (fact, stamp) in &self.facts {
-            if let CrashFact::Crashed { start, .. } = fact {
-                let known = self.starts.entry(start.clone()).or_insert(stamp.at);
-                *known = stamp.at.max(*known);
+            if let CrashFact::Crashed { content, start } = fact {
+                note_start(&mut self.starts, *content, start, stamp.at);
             }
         }
     }
 
     /// Whether a start counted as crashed at `at`.
     pub fn has_crashed(&self, start: &str, at: Instant) -> bool {
-        self.starts.get(start).is_some_and(|crashed| *crashed < at)
+        self.starts.get(start).is_some_and(|crashed| crashed.at < at)
     }
 
     /// Takes in facts of another set; returns those that were new.
@@ -265,19 +271,14 @@
     /// crash replicas, as often at least, explains the crashes that both were
     /// in; if they are equal, whichever runs next shows which of them it is.
     fn is_cause(&self, content: Content, starts: &HashSet<&Name>) -> bool {
-        if !(CRASHES_MAX..CRASHES_LIMIT).contains(&starts.len()) {
-            return starts.len() >= CRASHES_LIMIT;
-        }
-        let mut others: HashMap<Content, HashSet<&Name>> = HashMap::new();
-        for fact in self.facts.keys() {
-            if let CrashFact::Crashed { content: other, start } = fact
-                && !other.is_like(&content)
-            {
-                others.entry(*other).or_default().insert(start);
-            }
+        if starts.len() >= CRASHES_LIMIT {
+            return true;
         }
-        others.retain(|_, crashed| crashed.len() >= starts.len());
-        let is_explained = |start: &&&Name| others.values().any(|crashed| crashed.contains(*start));
+        let is_explained = |start: &&Name| {
+            let ran = self.starts.get(*start).into_iter().flat_map(|crashed| &crashed.contents);
+            let mut others = ran.filter(|other| !other.is_like(&content));
+            others.any(|other| self.count(*other) >= starts.len())
+        };
         starts.iter().filter(|start| !is_explained(start)).count() >= CRASHES_MAX
     }
 
@@ -351,6 +352,18 @@
     }
 }
 
+fn note_start(
+    starts: &mut HashMap<Name, CrashedStart>,
+    content: Content,
+    start: &Name,
+    at: Instant,
+) {
+    let empty = || CrashedStart { at, contents: HashSet::new() };
+    let crashed = starts.entry(start.clone()).or_insert_with(empty);
+    crashed.at = crashed.at.max(at);
+    crashed.contents.insert(content);
+}
+
 /// The first fact in the order that tells of a content's crash.
 fn lowest(content: Content) -> CrashFact {
     CrashFact::Crashed { content, start: "".into() }
