--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -26,7 +26,11 @@
 use gg_http::Client;
 use http::{Request, StatusCode};
 use processes::{LEDGERS, Processes, Program, wait_for_layout};
-use support::{Crash, FakeReplica, FakeStore, Manner, Manners, deployment::configuration};
+use support::{
+    Crash, FakeReplica, FakeStore, Manner, Manners,
+    deployment::configuration,
+    poison::{CONTACT_TIME, LATE_MAX},
+};
 use tempfile::TempDir;
 use tokio::time;
 
@@ -44,10 +48,7 @@
 const POISONS: [(&str, &str); 3] =
     [("/call/poison", ""), ("/once/x", "once poison"), ("/turn/x", "turn poison")];
 
-/// The users' `contact-ms`, their bound on retries that reach replicas later
-/// than that after the third crash, and a pause between retries.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
-const LATE_MAX: usize = 3;
+/// Pause between two retries of such a caller.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
 /// Time after which a crashed replica is back.
@@ -263,19 +264,11 @@
 
     /// Brings crashed replicas back as other starts that crash in other ways.
     async fn revive(&self, mut random: Random) {
-        const CRASHES: [Crash; 6] = [
-            Crash::Reset,
-            Crash::Close,
-            Crash::Silence,
-            Crash::HalfHead,
-            Crash::HalfBody,
-            Crash::Garbage,
-        ];
         loop {
             time::sleep(DOWN_TIME / 3).await;
             for replica in self.replicas.iter().filter(|replica| replica.is_down()) {
                 time::sleep(DOWN_TIME).await;
-                replica.set_crash(CRASHES[random.between(0, CRASHES.len() as u64) as usize]);
+                replica.set_crash(Crash::ALL[random.between(0, Crash::ALL.len() as u64) as usize]);
                 replica.revive(false).await;
                 self.store.put("servers", &replica.name, replica.entry("app", "ready"));
             }
