Programs have accounts on routes that don't keep their turns

Cause: a route's retention stood for two facts, whether a program has an account and whether its turns' texts are kept.

Change: Route::retention always holds the time, Route::keeps_turns says whether texts are kept. Without a text nothing is written at a turn's end, so the reservation itself is on disk on a quorum before the turn is sent. A line Keep holds the time of accounts that no turn record tells.

--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -67,8 +67,7 @@
 
 impl<D: Deployment> Settle<D> {
     pub(crate) fn new(state: Arc<State<D>>, job: Arc<Job>) -> Self {
-        let is_settled = job.route.retention.is_none();
-        Settle { state, job, events: EventCount::default(), is_settled }
+        Settle { state, job, events: EventCount::default(), is_settled: false }
     }
 
     /// Tokens handed to the client.
@@ -181,7 +180,7 @@
         if is_beyond || events.open_bytes() > EVENT_MAX_BYTES {
             return Err(RelayError::Endless);
         }
-        if self.settle.job.route.retention.is_some() {
+        if self.settle.job.route.keeps_turns {
             if !self.room.take(data.len()) || self.room.taken() > TURN_MAX_BYTES {
                 return Err(RelayError::Endless);
             }
@@ -194,7 +193,11 @@
     /// Has the turn kept; it counts from then on.
     async fn keep(&mut self) -> Result<(), RelayError> {
         let job = self.settle.job.clone();
-        let Some(retention) = job.route.retention else { return Ok(()) };
+        if !job.route.keeps_turns {
+            // What it spent is told when the relay is dropped; until that is
+            // heard, the most that was set aside counts.
+            return Ok(());
+        }
         let (previous, input) = match &self.foreign {
             None => (job.envelope.turn.previous.clone(), job.body.clone()),
             Some(history) => (None, [history.as_ref(), &job.body].concat().into()),
@@ -204,7 +207,7 @@
             previous,
             text: turn_text(&input, &self.passed.concat()),
             upstream: self.upstream.clone(),
-            keep_ms: u32::try_from(retention.0.as_millis()).unwrap_or(u32::MAX),
+            keep_ms: job.route.retention.as_millis(),
         };
         let tokens = Some(self.settle.tokens());
         let began = Instant::now();
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -78,12 +78,13 @@
 
 /// Sets the turn's tokens aside and reads the chain that it continues.
 async fn open<D: Deployment>(state: &State<D>, job: &Job) -> Result<Opened, Failure> {
-    if job.route.retention.is_none() {
-        return Ok(Opened::default());
-    }
-    let turn = &job.envelope.turn;
-    let request =
-        OpenRequest { key: job.turn_key(), previous: turn.previous.clone(), budget: budget(job) };
+    let (route, turn) = (&job.route, &job.envelope.turn);
+    let request = OpenRequest {
+        key: job.turn_key(),
+        previous: turn.previous.clone().filter(|_| route.keeps_turns),
+        budget: budget(job),
+        keep_ms: (!route.keeps_turns).then(|| route.retention.as_millis()),
+    };
     let began = Instant::now();
     let opened = state.ledger.open(&request, job.deadline).await;
     let result = if opened.is_ok() { "ok" } else { "failed" };
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -41,6 +41,10 @@
 /// put together before a turn is let through or refused.
 const EXACT_TURNS: u64 = 3;
 
+/// Longest wait for the answer whether a program has an account. A way there
+/// and back takes 3 ms.
+const ACCOUNT_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// Pause between two looks whether enough members are connected.
 const CONNECT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -70,6 +74,9 @@
     pub previous: Option<Name>,
     /// Budget of the program in tokens, and the most that this turn spends.
     pub budget: Option<(u64, u32)>,
+    /// Set for a turn whose text is not kept when it ends: milliseconds for
+    /// which its account is kept after its last use.
+    pub keep_ms: Option<u32>,
 }
 
 /// An opened turn.
@@ -222,6 +229,7 @@
         let ask = |link: &Link| Ask::Open {
             turn: request.key.turn.clone(),
             reserve: reserve.clone(),
+            keep_ms: request.keep_ms,
             chain: request.previous.clone().filter(|_| link.member.disk == nearest),
         };
         let (first, others) = view.links.split_at(view.first);
@@ -263,6 +271,23 @@
         }
     }
 
+    /// Whether a program has an account, as far as any of the members says
+    /// that are asked first.
+    pub async fn has_account(&self, program: &Name, limit: Instant) -> bool {
+        let partition = lock(&self.state).layout.partition(program);
+        let view = self.view(partition);
+        let first = view.links[..view.first].iter().filter(|link| link.is_usable());
+        let mut calls: FuturesUnordered<_> =
+            first.map(|link| link.call(view.scope, Ask::HasAccount(program.clone()))).collect();
+        let limit = limit.min(Instant::now() + ACCOUNT_TIMEOUT);
+        while let Ok(Some(answer)) = time::timeout_at(limit, calls.next()).await {
+            if let Ok(Answer::HasAccount(true)) = answer {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Exactly what the turns of a program other than `turn` spent or set
     /// aside: an end that any member knows of counts.
     async fn spent(&self, view: &View, program: &Name, turn: &Name) -> Result<u64, LedgerError> {
--- a/crates/gg-ledger/src/entry.rs
+++ b/crates/gg-ledger/src/entry.rs
@@ -59,6 +59,9 @@
     },
     /// A fact about requests that crash replicas; belongs to no partition.
     Fact(CrashFact),
+    /// Accounts are kept for at least so many milliseconds after their last
+    /// use.
+    Keep(u32),
 }
 
 /// A line and the partition that it belongs to.
--- a/crates/gg-ledger/src/index.rs
+++ b/crates/gg-ledger/src/index.rs
@@ -82,6 +82,9 @@
                 self.keep = self.keep.max(Duration::from_millis(record.keep_ms.into()));
                 self.turns.insert(record.turn.clone(), Kept { record, used: now });
             }
+            Line::Keep(keep_ms) => {
+                self.keep = self.keep.max(Duration::from_millis(keep_ms.into()));
+            }
             Line::Epoch(_) | Line::Forget | Line::Crash { .. } | Line::Fact(_) => {}
         }
     }
@@ -133,6 +136,16 @@
         Chain { text: text.freeze(), missing: next, upstream }
     }
 
+    /// Whether accounts are kept for `keep_ms` after their last use.
+    pub fn keeps_for(&self, keep_ms: u32) -> bool {
+        self.keep >= Duration::from_millis(keep_ms.into())
+    }
+
+    /// Whether any turn of a program has spent or set aside tokens.
+    pub fn has_account(&self, program: &str) -> bool {
+        self.accounts.contains_key(program)
+    }
+
     /// Whether a turn is known.
     pub fn has(&self, turn: &str) -> bool {
         self.turns.contains_key(turn)
@@ -152,7 +165,9 @@
     pub fn lines(&self) -> Vec<Line> {
         let turns = self.turns.values().map(|kept| Line::Turn(kept.record.clone()));
         let accounts = self.accounts.iter().flat_map(|(program, account)| account.lines(program));
-        turns.chain(accounts).collect()
+        let keep_ms = u32::try_from(self.keep.as_millis()).unwrap_or(u32::MAX);
+        let keep = (!self.accounts.is_empty()).then_some(Line::Keep(keep_ms));
+        keep.into_iter().chain(turns).chain(accounts).collect()
     }
 
     /// Drops what was not used within its time, `margin` added.
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -60,6 +60,10 @@
         turn: Name,
         /// Program and most tokens to set aside, on routes with a budget.
         reserve: Option<(Name, u32)>,
+        /// Set if nothing else of the turn is written later: the tokens are
+        /// then set aside on disk before the answer, and the account is kept
+        /// for so many milliseconds after its last use.
+        keep_ms: Option<u32>,
         /// Turn whose chain is wanted from this instance.
         chain: Option<Name>,
     },
@@ -74,6 +78,8 @@
     },
     /// Tell what each turn of a program spent or set aside.
     Account(Name),
+    /// Tell whether a program has an account.
+    HasAccount(Name),
     /// Read a chain.
     Fetch(Name),
     /// Read a chain from whichever partition has it.
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    Line, Node, TurnRecord,
+    Line, Node, Placed, TurnRecord,
     index::Chain,
     protocol::{Answer, Ask, FrameWriter, Reply, Request, codec, decode, encode, write_frames},
     pull,
@@ -87,9 +87,14 @@
         return;
     }
     match request.ask {
-        Ask::Open { turn, reserve, chain } => {
-            let answer = open(node, partition, turn, reserve, chain);
-            send(replies, id, answer).await;
+        Ask::Open { turn, reserve, keep_ms, chain } => {
+            let (answer, lines) = open(node, partition, turn, reserve, keep_ms, chain);
+            if keep_ms.is_none() {
+                node.enqueue(&lines);
+                send(replies, id, answer).await;
+            } else {
+                send_written(node, id, lines, answer, replies);
+            }
         }
         Ask::Close { turn, settle, record } => {
             close(node, id, partition, turn, settle, record, replies);
@@ -98,6 +103,10 @@
             let spent = node.book().index(partition).account(&program);
             send(replies, id, Answer::Account(spent)).await;
         }
+        Ask::HasAccount(program) => {
+            let is_known = node.book().index(partition).has_account(&program);
+            send(replies, id, Answer::HasAccount(is_known)).await;
+        }
         Ask::Fetch(turn) => {
             let chain = node.book().index(partition).chain(&turn, Instant::now());
             send(replies, id, Answer::Fetched(chain)).await;
@@ -153,23 +162,30 @@
     None
 }
 
+/// The answer to [`Ask::Open`], and the lines to write.
 fn open(
     node: &Node,
     partition: u16,
     turn: Name,
     reserve: Option<(Name, u32)>,
+    keep_ms: Option<u32>,
     chain: Option<Name>,
-) -> Answer {
+) -> (Answer, Vec<Placed>) {
     let now = Instant::now();
     let mut others = 0;
+    let mut lines = Vec::new();
     if let Some((program, tokens)) = reserve {
-        others = node.book().index(partition).others(&program, &turn);
-        let line = [(partition, Line::Reserve { program, turn, tokens })];
-        node.apply(&line);
-        node.enqueue(&line);
+        let mut book = node.book();
+        let index = book.index(partition);
+        others = index.others(&program, &turn);
+        let keep = keep_ms.filter(|keep_ms| !index.keeps_for(*keep_ms)).map(Line::Keep);
+        drop(book);
+        let reserve = Line::Reserve { program, turn, tokens };
+        lines.extend(keep.into_iter().chain([reserve]).map(|line| (partition, line)));
+        node.apply(&lines);
     }
     let chain: Option<Chain> = chain.map(|turn| node.book().index(partition).chain(&turn, now));
-    Answer::Opened { others, chain }
+    (Answer::Opened { others, chain }, lines)
 }
 
 fn close(
@@ -190,6 +206,17 @@
         node.enqueue(&lines);
         return;
     }
+    send_written(node, id, lines, Answer::Closed, replies);
+}
+
+/// Answers once lines are on disk.
+fn send_written(
+    node: &Node,
+    id: u64,
+    lines: Vec<Placed>,
+    answer: Answer,
+    replies: &mpsc::Sender<Bytes>,
+) {
     let (node, replies) = (node.clone(), replies.clone());
     tokio::spawn(async move {
         if node.write(&lines).await {
--- a/crates/gg-ledger/tests/close.rs
+++ b/crates/gg-ledger/tests/close.rs
@@ -120,7 +120,8 @@
     instances.iter().for_each(|instance| instance.node.set_layout(after.clone()));
     let closed = ledger.close(&key("t"), Some(10), record("t")).await;
     closed.expect("two members of the new set hold the turn");
-    let next = OpenRequest { key: key("u"), previous: Some("t".into()), budget: None };
+    let (key, previous) = (key("u"), Some("t".into()));
+    let next = OpenRequest { key, previous, budget: None, keep_ms: None };
     let opened = ledger.open(&next, Instant::now() + PATIENCE).await.expect("an answer");
     assert_eq!(opened.history, "text");
 }
--- a/crates/gg-ledger/tests/index.rs
+++ b/crates/gg-ledger/tests/index.rs
@@ -89,3 +89,22 @@
     index.expire(later + Duration::from_secs(62), margin);
     assert!(index.is_empty());
 }
+
+/// Accounts without any turn are kept as long as was asked for, also in a
+/// copy.
+#[test]
+fn accounts_alone() {
+    let (mut index, start) = (Index::default(), Instant::now());
+    let margin = Duration::from_secs(1);
+    index.apply(Line::Keep(60_000), start);
+    index.apply(settle("a", 30), start);
+    let mut copy = Index::default();
+    index.lines().into_iter().for_each(|line| copy.apply(line, start));
+    for index in [&mut index, &mut copy] {
+        index.expire(start + Duration::from_secs(60), margin);
+        assert_eq!(index.others("p", "x"), 30);
+        assert!(index.has_account("p"));
+        index.expire(start + Duration::from_secs(62), margin);
+        assert!(!index.has_account("p"));
+    }
+}
--- a/crates/gg-route/src/configuration.rs
+++ b/crates/gg-route/src/configuration.rs
@@ -31,10 +31,18 @@
     }
 }
 
-/// How long the turns of a route are kept.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How long programs' accounts, and turns where they are kept, stay after
+/// their last use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Retention(pub Duration);
 
+impl Retention {
+    /// In milliseconds, as messages and the log hold it.
+    pub fn as_millis(self) -> u32 {
+        u32::try_from(self.0.as_millis()).unwrap_or(u32::MAX)
+    }
+}
+
 /// One route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -56,8 +64,14 @@
     pub backends: Vec<(Name, u32)>,
     /// Most replicas that one client attempt may be sent to.
     pub attempts: u32,
-    /// Set if turns are kept and later ones continue them.
-    pub retention: Option<Retention>,
+    /// How long what is kept of a program stays after its last use.
+    pub retention: Retention,
+    /// Whether turns are kept, so that later ones carry only their new input.
+    /// Programs have accounts on either kind of route.
+    pub keeps_turns: bool,
+    /// Whether requests that concern one object go to the replica that
+    /// handled it before.
+    pub is_sticky: bool,
 }
 
 /// One service.
--- a/crates/gg-route/tests/table.rs
+++ b/crates/gg-route/tests/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gg_route::{ClientLimits, Configuration, Route, RouteKind, RouteTable, Service};
+use gg_route::{ClientLimits, Configuration, Retention, Route, RouteKind, RouteTable, Service};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -15,7 +15,9 @@
         rank: 0,
         backends: vec![("app".into(), 1)],
         attempts: 2,
-        retention: None,
+        retention: Retention::default(),
+        keeps_turns: false,
+        is_sticky: false,
     }
 }
 
