A replica that says in an answer that it leaves gets nothing more

Cause: the mark was not read; the gateway went on with the replica until the directory named it draining.

Change: any answer of the replica itself with the mark takes it out at this gateway at once, kept connections included; what it runs is finished.

--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -136,6 +136,10 @@
         }
     };
     let marks = state.dialect.marks(response.headers(), job.id());
+    if marks.is_leaving && !marks.is_foreign && replica.is_open() {
+        log::info!("event=replica_leaving replica={} told_by=answer", replica.upstream.id.name);
+        replica.set_leaving();
+    }
     let lease = Lease { connection, underway, place };
     if marks.is_foreign {
         log::warn!(
--- a/crates/gg-route/src/envelope.rs
+++ b/crates/gg-route/src/envelope.rs
@@ -64,3 +64,5 @@
     /// The replica promises that it did not run the request.
     pub is_unexecuted: bool,
 }
+    /// The replica is about to leave and takes no further requests.
+    pub is_leaving: bool,
