A program under way is told from a new one by its account

Cause: a turn without Previous-Turn was taken for new work.

Change: a gateway remembers the programs that it let in (Programs, plain type); one that it doesn't know and would refuse is asked for at the ledger, so turns may come to any gateway.

--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -27,16 +27,42 @@
 
 /// Decides on a request that begins something: the first turn of a program,
 /// or a request outside any. Everything else belongs to work under way, which
-/// has been let in already.
-pub(crate) fn admit<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
+/// has been let in already and is finished.
+pub(crate) async fn admit<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
     let turn = &job.envelope.turn;
-    let is_new = match job.route.kind {
-        RouteKind::Stream => turn.previous.is_none(),
-        _ => turn.program.is_none(),
+    let is_begun = match (job.route.kind, &turn.program) {
+        (RouteKind::Stream, _) if turn.previous.is_some() => true,
+        (RouteKind::Stream, Some(program)) => {
+            lock(&state.programs).is_under_way(program, Instant::now())
+        }
+        (_, program) => program.is_some(),
     };
-    let Some(service) = state.fleet.service(&job.service.name).filter(|_| is_new) else {
+    if is_begun {
         return Ok(());
-    };
+    }
+    let Err(refusal) = decide(state, job) else { return Ok(()) };
+    // Its turns before may have come to other gateways.
+    if let Some(program) = &turn.program
+        && state.ledger.has_account(program, job.deadline).await
+    {
+        state.metrics.count("known_by_account", &[]);
+        log::info!("event=under_way request={} program={program}", job.id());
+        return Ok(());
+    }
+    state.metrics.count("refused_new", &[("rank", &job.route.rank.to_string())]);
+    Err(refusal)
+}
+
+/// A turn was let in and opened, so its program is under way.
+pub(crate) fn note_opened<D>(state: &State<D>, job: &Job) {
+    if let Some(program) = &job.envelope.turn.program {
+        lock(&state.programs).note(program, Instant::now());
+    }
+}
+
+/// Decides on new work.
+fn decide<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
+    let Some(service) = state.fleet.service(&job.service.name) else { return Ok(()) };
     let work = NewWork { rank: job.route.rank, objective: job.route.target };
     let fill = fill(state, &service);
     let draw = rand::rng().random_range(0.0..1.0);
@@ -44,7 +70,6 @@
         with(state, &job.service.name, |admission, now| admission.admit(work, fill, now, draw));
     let Err(refusal) = decided else { return Ok(()) };
     let retry_ms = refusal.retry.as_millis() as u64;
-    state.metrics.count("refused_new", &[("rank", &work.rank.to_string())]);
     log::info!(
         "event=refused_new request={} service={} rank={} under_way={:?} places={:.1} limit={:.1} \
          late={:.0}/{:.0} slow={:.0}/{:.0} retry_ms={retry_ms}",
--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -39,7 +39,7 @@
     state: &Arc<State<D>>,
     job: &Arc<Job>,
 ) -> Result<Response<Full<Bytes>>, Failure> {
-    admit(state, job)?;
+    admit(state, job).await?;
     let mut tries = job.tries();
     let mut tried = Vec::new();
     let mut attempts = FuturesUnordered::new();
--- a/crates/gg-gateway/src/replica.rs
+++ b/crates/gg-gateway/src/replica.rs
@@ -1,7 +1,6 @@
 //! One replica as this gateway knows it.
 
 use std::{
-    collections::HashSet,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -181,6 +180,7 @@
         place
     }
 }
+
 /// Prompt tokens that a replica of a service keeps.
 fn room(service: &Service) -> u64 {
     match service.kept_tokens {
@@ -189,7 +189,6 @@
     }
 }
 
-
 /// A place on a replica.
 #[derive(Debug)]
 pub(crate) struct Place {
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -14,7 +14,7 @@
 use gg_protocol::Name;
 use gg_route::{Configuration, RouteTable};
 
-use crate::{Fleet, Held};
+use crate::{Fleet, Held, Programs};
 
 /// Second sends as a share of answers: beyond it, silence is load, and more
 /// sends would only add to it.
@@ -39,6 +39,8 @@
     pub(crate) hedges: Mutex<RetryBudget>,
     /// Whether new work is let in, by service.
     pub(crate) admissions: Mutex<HashMap<Name, Admission>>,
+    /// Programs with turns that were let in here.
+    pub(crate) programs: Mutex<Programs>,
     /// Memory that replicas' answers take.
     pub(crate) held: Held,
     table: RwLock<Option<Arc<RouteTable>>>,
@@ -55,6 +57,7 @@
             ledger,
             fleet: Fleet::default(),
             admissions: Mutex::default(),
+            programs: Mutex::default(),
             held: Held::default(),
             table: RwLock::default(),
             is_stopping: AtomicBool::new(false),
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -1,5 +1,4 @@
-//! A request whose answer is a stream of events: a turn of a program, on
-//! routes that keep turns.
+//! A request whose answer is a stream of events: a turn of a program.
 
 use std::sync::Arc;
 
@@ -14,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    admit::admit,
+    admit::{admit, note_opened},
     answer::strip_hop_headers,
     call::{next, refusal},
     place::place,
@@ -29,8 +28,9 @@
     state: &Arc<State<D>>,
     job: &Arc<Job>,
 ) -> Result<Answer<impl Stream<Item = Result<Frame<Bytes>, RelayError>> + Send + use<D>>, Failure> {
-    admit(state, job)?;
+    admit(state, job).await?;
     let opened = open(state, job).await?;
+    note_opened(state, job);
     // Settles what was set aside however the turn ends.
     let settle = Settle::new(state.clone(), job.clone());
     let body = prompt(&opened, &job.body);
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -131,6 +131,8 @@
     },
     /// Reply to [`Ask::Account`].
     Account(Vec<Spent>),
+    /// Reply to [`Ask::HasAccount`].
+    HasAccount(bool),
     /// The end is on disk.
     Closed,
     /// Reply to [`Ask::Fetch`] and [`Ask::Find`].
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -220,7 +220,7 @@
     let (node, replies) = (node.clone(), replies.clone());
     tokio::spawn(async move {
         if node.write(&lines).await {
-            send(&replies, id, Answer::Closed).await;
+            send(&replies, id, answer).await;
         }
     });
 }
--- a/crates/gg-route/src/envelope.rs
+++ b/crates/gg-route/src/envelope.rs
@@ -76,6 +76,6 @@
     pub is_signed: bool,
     /// The replica promises that it did not run the request.
     pub is_unexecuted: bool,
-}
     /// The replica is about to leave and takes no further requests.
     pub is_leaving: bool,
+}
