A few ledger instances follow the directory, the others ask those

Cause: calls to the platform grew with machines.

Change: 2f+1 instances, by a hash of their names, follow the directory; others ask two of them every 300 ms (Ask::Mirror) and follow it themselves while none is up to date (follow_unless_told, as gateways do). Gateways link to a few registered instances until there is a layout, so one list is enough; when the whole deployment starts they wait for the registrations. Instances found the layout in turn.

Freshness moves to gg-platform with its test.

--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -12,15 +12,18 @@
     time::{Duration, Instant},
 };
 
-use gg_ledger::LAYOUT_NAME;
-use gg_platform::{Change, Entry, FollowSettings, Kind, MirrorNews, News, follow};
+use gg_ledger::{LAYOUT_NAME, Registration};
+use gg_platform::{
+    Change, Entry, FRESH_TIME, FollowSettings, Freshness, Kind, MirrorNews, News,
+    follow_unless_told,
+};
 use gg_route::Deployment;
+use rand::Rng;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     admit,
-    freshness::{FRESH_TIME, Freshness},
     state::{State, lock},
 };
 
@@ -39,6 +42,11 @@
 /// kinds other than theirs are asked of the directory.
 const START_PATIENCE: Duration = Duration::from_millis(2_500);
 
+/// When the whole deployment starts, the ledger instances are asked for after
+/// this time, and up to as much again drawn at random: they are registered
+/// then, and one call finds them.
+const FOUNDING_PATIENCE: Duration = Duration::from_millis(600);
+
 /// Time between two looks for replicas whose entries did not come back.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -53,7 +61,15 @@
 }
 
 /// Learns of all kinds until `stop` is cancelled.
-pub(crate) async fn run<D: Deployment>(state: Arc<State<D>>, stop: CancellationToken) {
+pub(crate) async fn run<D: Deployment>(
+    state: Arc<State<D>>,
+    is_founding: bool,
+    stop: CancellationToken,
+) {
+    let ledger_patience = match is_founding {
+        true => FOUNDING_PATIENCE.mul_f64(rand::rng().random_range(1.0..2.0)),
+        false => Duration::ZERO,
+    };
     let kinds = KINDS.map(|kind| Followed {
         state: &state,
         kind,
@@ -66,7 +82,7 @@
         tokio::join!(
             configuration.follow_directly(START_PATIENCE),
             upstreams.follow_directly(START_PATIENCE),
-            ledgers.follow_directly(Duration::ZERO),
+            ledgers.follow_directly(ledger_patience),
             ask_ledgers(&state, &kinds),
             sweep(&state),
         );
@@ -103,33 +119,14 @@
 }
 
 impl<D: Deployment> Followed<'_, D> {
-    /// Whether a ledger instance that is up to date answered lately.
-    fn is_fresh(&self) -> bool {
-        lock(&self.freshness).is_fresh(Instant::now())
-    }
-
     /// Follows the directory itself while no ledger instance is up to date.
     async fn follow_directly(&self, patience: Duration) {
         time::sleep(patience).await;
-        loop {
-            while self.is_fresh() {
-                time::sleep(FRESH_TIME).await;
-            }
-            log::info!("event=directory_followed kind={}", self.kind.as_str());
-            let following =
-                follow(&self.state.dialect, self.kind, FollowSettings::default(), |news| {
-                    self.take_direct(news);
-                });
-            let relieved = async {
-                while !self.is_fresh() {
-                    time::sleep(FRESH_TIME).await;
-                }
-            };
-            tokio::select! {
-                () = following => {}
-                () = relieved => {}
-            }
-        }
+        // Once the ledger instances are listed, they tell soon.
+        let settle = if self.kind == Kind::Ledgers { FRESH_TIME } else { Duration::ZERO };
+        let settings = FollowSettings { settle, ..FollowSettings::default() };
+        let take = |news| self.take_direct(news);
+        follow_unless_told(&self.state.dialect, self.kind, settings, &self.freshness, take).await;
     }
 
     fn take_mirrored(&self, news: MirrorNews) {
@@ -216,12 +213,17 @@
 }
 
 fn take_ledgers<D: Deployment>(state: &State<D>, news: News) {
-    for entry in present(news).into_iter().filter(|entry| entry.name == LAYOUT_NAME) {
+    let (layouts, instances): (Vec<Entry>, Vec<Entry>) =
+        present(news).into_iter().partition(|entry| entry.name == LAYOUT_NAME);
+    for entry in layouts {
         match serde_json::from_slice(&entry.body) {
             Ok(layout) => state.ledger.set_layout(layout),
             Err(err) => log::error!("event=layout_unreadable error={err}"),
         }
     }
+    let read = |entry: &Entry| serde_json::from_slice::<Registration>(&entry.body).ok();
+    let registered: Vec<Registration> = instances.iter().filter_map(read).collect();
+    state.ledger.set_registered(registered.into_iter().map(|found| found.member).collect());
 }
 
 /// The entries that news say are there.
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -61,7 +61,7 @@
         };
         tokio::spawn(serve_metrics(listen(address)?, registry, refresh, stop.child_token()));
     }
-    tokio::spawn(discovery::run(state.clone(), stop.child_token()));
+    tokio::spawn(discovery::run(state.clone(), settings.is_founding, stop.child_token()));
     tokio::spawn(ingress::serve_ready(ready, state.clone(), stop.child_token()));
     let closed = CancellationToken::new();
     let base = Limits {
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -10,11 +10,12 @@
 use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream::FuturesUnordered};
 use gg_protocol::Name;
+use rand::seq::SliceRandom;
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Chain, Crashes, Layout, LedgerError, TurnRecord,
+    Chain, Crashes, Layout, LedgerError, Member, TurnRecord,
     index::Spent,
     link::{Link, Scope},
     links::Links,
@@ -45,6 +46,9 @@
 /// and back takes 3 ms.
 const ACCOUNT_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Instances that are asked for news while there is no layout.
+const TELLERS: usize = 3;
+
 /// Pause between two looks whether enough members are connected.
 const CONNECT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -140,6 +144,19 @@
         state.layout = Arc::new(layout);
     }
 
+    /// Takes in instances that are registered. Until there is a layout, some
+    /// of them tell what is in the directory.
+    pub fn set_registered(&self, instances: Vec<Member>) {
+        let mut state = lock(&self.state);
+        if !state.layout.partitions.is_empty() || instances.is_empty() {
+            return;
+        }
+        let mut some: Vec<&Member> = instances.iter().collect();
+        some.shuffle(&mut rand::rng());
+        some.truncate(TELLERS);
+        state.links.keep(&some);
+    }
+
     /// Whether enough members of every partition answer.
     pub fn is_ready(&self) -> bool {
         let count = lock(&self.state).layout.partitions.len();
--- a/crates/gg-ledger/src/keeper.rs
+++ b/crates/gg-ledger/src/keeper.rs
@@ -2,24 +2,29 @@
 //! place of lost members, and empties instances.
 
 use std::{
-    sync::{Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant, SystemTime},
 };
 
 use bytes::Bytes;
-use gg_platform::{Change, Entry, FollowSettings, Kind, News, PlatformError, follow};
+use futures::future::join_all;
+use gg_platform::{
+    Change, Entry, FollowSettings, Kind, MirrorNews, News, PlatformError, follow_unless_told,
+};
 use gg_protocol::Name;
 use gg_route::Deployment;
 use indexmap::{IndexMap, IndexSet};
+use rand::seq::SliceRandom;
 use tokio::{sync::Notify, time};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     LAYOUT_NAME, Layout, LedgerSet, Member, Node, Patience, Plan, Registration,
-    link::Scope,
+    link::{Link, Scope},
     links::Links,
     node::lock,
     protocol::{Answer, Ask},
+    sources::{KINDS, Source, watchers},
 };
 
 /// How an instance takes part.
@@ -41,6 +46,23 @@
 /// Time between two looks while nothing changes, and between two heartbeats.
 const LOOK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time between two questions to instances that follow the directory; part of
+/// how late a change is heard of.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Longest wait for their answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Instances that are asked each time.
+const ASKED: usize = 2;
+
+/// Time after the start in which other instances may tell before kinds other
+/// than the instances themselves are asked of the directory.
+const START_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// Calls that belong to no partition.
+const NO_PARTITION: Scope = Scope { partition: 0, epoch: 0 };
+
 /// Longest wait for another instance's status.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -52,6 +74,14 @@
 /// registered to bear the loss of one.
 const FOUNDING_FACTOR: u32 = 4;
 
+/// An instance founds the layout this much later than the one before it in
+/// the order of names: a write and the news of it take less.
+const FOUNDING_TURN: Duration = Duration::from_millis(600);
+
+/// Instances that wait for their turn to found; the others wait as long as the
+/// last of them.
+const FOUNDERS: usize = 4;
+
 /// Keeps one instance in the layout.
 #[derive(Debug)]
 pub struct Keeper<D> {
@@ -60,6 +90,7 @@
     node: Node,
     known: Mutex<Known>,
     links: Mutex<Links>,
+    sources: [Source; KINDS.len()],
     changed: Notify,
 }
 
@@ -86,17 +117,23 @@
         stop: CancellationToken,
     ) -> Self {
         let links = Mutex::new(Links::new(Some(LOOK_INTERVAL), stop));
-        Keeper { settings, directory, node, known: Mutex::default(), links, changed: Notify::new() }
+        Keeper {
+            settings,
+            directory,
+            node,
+            known: Mutex::default(),
+            links,
+            sources: KINDS.map(Source::new),
+            changed: Notify::new(),
+        }
     }
 
     /// Runs until `stop` is cancelled.
     pub async fn run(self, stop: CancellationToken) {
         let work = async {
             tokio::join!(
-                self.follow_ledgers(),
-                self.follow_removals(),
-                self.mirror(Kind::Configuration),
-                self.mirror(Kind::Upstreams),
+                join_all(self.sources.iter().map(|source| self.follow(source))),
+                self.ask_watchers(),
                 self.keep(),
             );
         };
@@ -107,34 +144,110 @@
         lock(&self.known)
     }
 
-    async fn follow_ledgers(&self) {
-        follow(&self.directory, Kind::Ledgers, FollowSettings::default(), |news| {
-            self.node.mirror().take(Kind::Ledgers, &news);
-            let mut known = self.known();
-            match news {
-                News::Snapshot(_, entries) => {
-                    known.registered.clear();
-                    known.is_listed = true;
-                    entries.iter().for_each(|entry| self.take(&mut known, entry));
+    /// Follows one kind while no other instance tells of it.
+    async fn follow(&self, source: &Source) {
+        if source.kind != Kind::Ledgers {
+            time::sleep(START_PATIENCE).await;
+        }
+        let take = |news| self.take(source, news);
+        let settings = FollowSettings::default();
+        follow_unless_told(&self.directory, source.kind, settings, &source.told, take).await;
+    }
+
+    /// Asks instances that follow the directory what is new, unless this is
+    /// one of them.
+    async fn ask_watchers(&self) {
+        loop {
+            time::sleep(ASK_INTERVAL).await;
+            let known: Vec<(Kind, u64)> =
+                self.sources.iter().map(|source| (source.kind, source.revision())).collect();
+            let calls = self.asked().into_iter().map(async |link| {
+                let call = link.call(NO_PARTITION, Ask::Mirror(known.clone()));
+                match time::timeout(ASK_TIMEOUT, call).await {
+                    Ok(Ok(Answer::Mirror(news))) => news,
+                    _ => Vec::new(),
                 }
-                News::Changes(_, changes) => {
-                    for change in changes {
-                        match change {
-                            Change::Put(entry) => self.take(&mut known, &entry),
-                            Change::Removed(name) => {
-                                known.registered.shift_remove(name.as_str());
-                            }
+            });
+            let told = join_all(calls).await;
+            told.into_iter().flatten().for_each(|news| self.take_told(news));
+        }
+    }
+
+    /// Instances to ask; none if this one follows the directory itself.
+    fn asked(&self) -> Vec<Arc<Link>> {
+        let known = self.known();
+        let names = watchers(known.registered.keys(), self.settings.tolerated);
+        if names.contains(&&self.settings.member.instance) {
+            return Vec::new();
+        }
+        let links = lock(&self.links);
+        let disks = names.iter().filter_map(|name| known.registered.get(*name));
+        let all = disks.filter_map(|found| links.get(found.member.disk));
+        let mut usable: Vec<Arc<Link>> = all.filter(|link| link.is_usable()).cloned().collect();
+        usable.shuffle(&mut rand::rng());
+        usable.truncate(ASKED);
+        usable
+    }
+
+    fn take_told(&self, news: MirrorNews) {
+        let Some(source) = self.sources.iter().find(|source| source.kind == news.kind) else {
+            return;
+        };
+        source.note(news.is_current);
+        match news.entries {
+            Some(entries) => self.take(source, News::Snapshot(news.revision, entries)),
+            // Nothing is new, and the directory answers.
+            None if news.is_current => {
+                self.node.mirror().take(source.kind, &News::Changes(news.revision, Vec::new()));
+            }
+            None => {}
+        }
+    }
+
+    /// Takes in news of a kind, unless newer ones are known.
+    fn take(&self, source: &Source, news: News) {
+        match &news {
+            News::Snapshot(revision, _) | News::Changes(revision, _) => {
+                if !source.advance(*revision) {
+                    return;
+                }
+            }
+            News::Lost(err) => {
+                log::warn!("event=directory_lost kind={} error={err}", source.kind.as_str());
+            }
+        }
+        self.node.mirror().take(source.kind, &news);
+        match source.kind {
+            Kind::Ledgers => self.take_ledgers(news),
+            Kind::Removals => self.take_removals(news),
+            Kind::Configuration | Kind::Upstreams => return,
+        }
+        self.changed.notify_one();
+    }
+
+    fn take_ledgers(&self, news: News) {
+        let mut known = self.known();
+        match news {
+            News::Snapshot(_, entries) => {
+                known.registered.clear();
+                known.is_listed = true;
+                entries.iter().for_each(|entry| self.take_entry(&mut known, entry));
+            }
+            News::Changes(_, changes) => {
+                for change in changes {
+                    match change {
+                        Change::Put(entry) => self.take_entry(&mut known, &entry),
+                        Change::Removed(name) => {
+                            known.registered.shift_remove(name.as_str());
                         }
                     }
                 }
-                News::Lost(err) => log::warn!("event=directory_lost kind=ledgers error={err}"),
             }
-            self.changed.notify_one();
-        })
-        .await;
+            News::Lost(_) => {}
+        }
     }
 
-    fn take(&self, known: &mut Known, entry: &Entry) {
+    fn take_entry(&self, known: &mut Known, entry: &Entry) {
         if entry.name == LAYOUT_NAME {
             match serde_json::from_slice::<Layout>(&entry.body) {
                 Ok(layout) => {
@@ -153,38 +266,22 @@
         }
     }
 
-    /// Follows a kind for the gateways.
-    async fn mirror(&self, kind: Kind) {
-        follow(&self.directory, kind, FollowSettings::default(), |news| {
-            if let News::Lost(err) = &news {
-                log::warn!("event=directory_lost kind={} error={err}", kind.as_str());
+    fn take_removals(&self, news: News) {
+        let mut known = self.known();
+        match news {
+            News::Snapshot(_, entries) => {
+                known.leaving = entries.iter().map(|entry| entry.name.as_str().into()).collect();
             }
-            self.node.mirror().take(kind, &news);
-        })
-        .await;
-    }
-
-    async fn follow_removals(&self) {
-        follow(&self.directory, Kind::Removals, FollowSettings::default(), |news| {
-            let mut known = self.known();
-            match news {
-                News::Snapshot(_, entries) => {
-                    known.leaving =
-                        entries.iter().map(|entry| entry.name.as_str().into()).collect();
+            News::Changes(_, changes) => {
+                for change in changes {
+                    match change {
+                        Change::Put(entry) => known.leaving.insert(entry.name.as_str().into()),
+                        Change::Removed(name) => known.leaving.shift_remove(name.as_str()),
+                    };
                 }
-                News::Changes(_, changes) => {
-                    for change in changes {
-                        match change {
-                            Change::Put(entry) => known.leaving.insert(entry.name.as_str().into()),
-                            Change::Removed(name) => known.leaving.shift_remove(name.as_str()),
-                        };
-                    }
-                }
-                News::Lost(err) => log::warn!("event=directory_lost kind=removals error={err}"),
             }
-            self.changed.notify_one();
-        })
-        .await;
+            News::Lost(_) => {}
+        }
     }
 
     /// Looks at the layout again and again and does what is next.
@@ -208,10 +305,10 @@
             (known.layout.clone(), known.registered.clone(), known.leaving.clone())
         };
         self.register(&registered).await?;
+        self.watch_others(layout.as_ref().map(|(_, layout)| layout), &registered);
         let Some((revision, layout)) = layout else {
             return self.found().await;
         };
-        self.watch_others(&layout, &registered);
         self.tell_leaving(&layout, &leaving).await?;
         let plan = Plan {
             layout: &layout,
@@ -233,8 +330,8 @@
     }
 
     /// Watches all other instances that are or could become members.
-    fn watch_others(&self, layout: &Layout, registered: &IndexMap<Name, Registration>) {
-        let mut others = layout.members();
+    fn watch_others(&self, layout: Option<&Layout>, registered: &IndexMap<Name, Registration>) {
+        let mut others = layout.map(Layout::members).unwrap_or_default();
         others.extend(registered.values().map(|found| &found.member));
         others.retain(|member| member.disk != self.node.disk());
         lock(&self.links).keep(&others);
@@ -298,7 +395,12 @@
         };
         let wanted = 2 * self.settings.tolerated + 1;
         let factor = if members.len() < wanted { FOUNDING_FACTOR } else { 1 };
-        let wait = self.settings.founding_wait * factor;
+        // One founds, the others if it doesn't.
+        let mut names: Vec<&Name> = members.iter().map(|member| &member.instance).collect();
+        names.sort();
+        let turn = names.iter().position(|name| **name == self.settings.member.instance);
+        let turn = turn.map_or(FOUNDERS, |turn| turn.min(FOUNDERS));
+        let wait = self.settings.founding_wait * factor + FOUNDING_TURN * turn as u32;
         let is_due = registered_at.is_some_and(|at| at.elapsed() >= wait);
         if !self.settings.is_founding || !is_due || members.is_empty() {
             return Ok(());
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -25,6 +25,7 @@
 mod pull;
 mod serve;
 mod set;
+mod sources;
 mod view;
 
 pub use askers::{Askers, Strains};
@@ -39,3 +40,4 @@
 pub use node::{Node, NodeError, NodeSettings};
 pub use plan::{Patience, Plan};
 pub use set::{LAYOUT_NAME, Layout, LedgerSet, Member, Registration};
+pub use sources::watchers;
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -102,6 +102,9 @@
         /// What it knows of crashes that the instance may not know.
         crashes: CrashNews,
     },
+    /// Tell another instance what is new in the directory since these
+    /// revisions.
+    Mirror(Vec<(Kind, u64)>),
     /// Take in what a client has just seen of crashes; told to all instances.
     Crash(AgedFact),
     /// Tell how far the partition is copied.
@@ -150,6 +153,8 @@
         /// What it knows of crashes that the client may not know.
         crashes: CrashNews,
     },
+    /// Reply to [`Ask::Mirror`].
+    Mirror(Vec<MirrorNews>),
     /// Reply to [`Ask::Status`].
     Status {
         /// Epoch for which the instance has copied everything, if it did.
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -122,6 +122,10 @@
             let crashes = node.share_crashes(&from, crashes);
             send(replies, id, Answer::News { news, askers, strains, crashes }).await;
         }
+        Ask::Mirror(known) => {
+            let news = node.mirror().news(&known);
+            send(replies, id, Answer::Mirror(news)).await;
+        }
         Ask::Crash(fact) => node.learn_crashes("-", &[fact]),
         Ask::Status => {
             let copied = node.book().copied(partition);
@@ -143,15 +147,17 @@
     }
     let mut book = node.book();
     let is_stale = match &request.ask {
-        Ask::Ping | Ask::News { .. } | Ask::Crash(_) => false,
+        Ask::Ping | Ask::News { .. } | Ask::Mirror(_) | Ask::Crash(_) => false,
         Ask::Find { epochs, .. } => book.is_ahead_of(epochs),
         _ => request.epoch < book.epoch(request.partition),
     };
     if is_stale {
         return Some(Answer::Stale(book.layout().clone()));
     }
-    let is_of_none =
-        matches!(request.ask, Ask::Ping | Ask::News { .. } | Ask::Crash(_) | Ask::Find { .. });
+    let is_of_none = matches!(
+        request.ask,
+        Ask::Ping | Ask::News { .. } | Ask::Mirror(_) | Ask::Crash(_) | Ask::Find { .. }
+    );
     if is_of_none {
         return None;
     }
--- a/crates/gg-platform/src/follow.rs
+++ b/crates/gg-platform/src/follow.rs
@@ -1,11 +1,14 @@
 //! Follows one kind of a directory: a list, then watches from its revision.
 
-use std::time::Duration;
+use std::{
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
 
 use rand::Rng;
 use tokio::time;
 
-use crate::{Change, Directory, Entry, Kind, PlatformError, Watched};
+use crate::{Change, Directory, Entry, FRESH_TIME, Freshness, Kind, PlatformError, Watched};
 
 /// How a kind is followed.
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +19,9 @@
     /// Pause after a watch that brought changes, so that changes that come
     /// close together cost one call; bounds how late they are heard of.
     pub gather: Duration,
+    /// Pause between a list and the first watch, which hears what happened
+    /// meanwhile. Others may tell until then, and no watch is needed.
+    pub settle: Duration,
     /// First pause after a failed call; doubles up to `pause_max`.
     pub pause: Duration,
     /// Longest pause between failed calls, which bounds how late the
@@ -28,6 +34,7 @@
         FollowSettings {
             wait: Duration::from_secs(10),
             gather: Duration::from_millis(250),
+            settle: Duration::ZERO,
             pause: Duration::from_millis(50),
             pause_max: Duration::from_millis(500),
         }
@@ -61,9 +68,12 @@
                 revision = next;
                 let has_changes =
                     matches!(&news, Some(News::Changes(_, changes)) if !changes.is_empty());
+                let is_list = matches!(&news, Some(News::Snapshot(..)));
                 news.into_iter().for_each(&mut take);
                 if has_changes {
                     time::sleep(settings.gather).await;
+                } else if is_list {
+                    time::sleep(settings.settle).await;
                 }
             }
             Err(err) => {
@@ -79,6 +89,32 @@
     }
 }
 
+/// Follows `kind` while nobody else tells what is up to date, until dropped.
+pub async fn follow_unless_told<D: Directory>(
+    directory: &D,
+    kind: Kind,
+    settings: FollowSettings,
+    told: &Mutex<Freshness>,
+    mut take: impl FnMut(News),
+) {
+    let is_told = || told.lock().unwrap_or_else(PoisonError::into_inner).is_fresh(Instant::now());
+    loop {
+        while is_told() {
+            time::sleep(FRESH_TIME).await;
+        }
+        log::info!("event=directory_followed kind={}", kind.as_str());
+        let relieved = async {
+            while !is_told() {
+                time::sleep(FRESH_TIME / 2).await;
+            }
+        };
+        tokio::select! {
+            () = follow(directory, kind, settings, &mut take) => {}
+            () = relieved => {}
+        }
+    }
+}
+
 /// One call: a list without a revision, else a watch.
 async fn step<D: Directory>(
     directory: &D,
--- a/crates/gg-gateway/src/freshness.rs
+++ b/crates/gg-platform/src/freshness.rs
@@ -1,13 +1,13 @@
-//! Whether what ledger instances tell of the directory is up to date.
+//! Whether what others tell of the directory is up to date.
 
 use std::time::{Duration, Instant};
 
 /// Without an up-to-date answer for this long, the directory is asked.
 pub const FRESH_TIME: Duration = Duration::from_millis(1_000);
 
-/// Answers of ledger instances about one kind.
+/// Answers of others about one kind.
 ///
-/// One instance may be cut off from the directory alone. Its word must not
+/// One of them may be cut off from the directory alone. Its word must not
 /// stand for an outage: in one, entries that lapse stay usable for a while,
 /// and replicas that leave would get requests for too long.
 #[derive(Clone, Copy, Debug, Default)]
@@ -25,7 +25,7 @@
         !self.is_fresh(now)
     }
 
-    /// Whether an instance that is up to date answered lately.
+    /// Whether somebody who is up to date answered lately.
     pub fn is_fresh(&self, now: Instant) -> bool {
         self.heard.is_some_and(|at| now.saturating_duration_since(at) < FRESH_TIME)
     }
--- a/crates/gg-gateway/tests/freshness.rs
+++ b/crates/gg-platform/tests/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use gg_gateway::{FRESH_TIME, Freshness};
+use gg_platform::{FRESH_TIME, Freshness};
 
 #[test]
 fn one_cut_off() {
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -45,6 +45,8 @@
     pub connections: usize,
     /// Time from SIGTERM to the end of the process, at most.
     pub grace: Duration,
+    /// Whether the whole deployment starts for the first time.
+    pub is_founding: bool,
     /// Where metrics are read as text, if anywhere.
     pub metrics: Option<SocketAddr>,
 }
@@ -148,6 +150,7 @@
         ready: section.socket("ready"),
         connections: section.number("connections", 2_000, 1, 65_536),
         grace: Duration::from_secs_f64(section.number("grace_s", 8.0, 1.0, 600.0)),
+        is_founding: section.flag("founding", false),
         metrics: None,
     };
     section.finish();
