Streams that may be resumed go on at another replica; torn ones are cut

Change: Resume sends the turn to another replica after the last whole event, within the same answer: first head and signature kept, only whole events passed on (WholeEvents, plain type), deadline, attempts and account as for one send. Breaking off is a reset, an end in the middle of an event, an event that comes again, or 1.5 s without an event, bytes or not. Any stream that ends in the middle of an event is cut.

--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -19,7 +19,7 @@
     place::{best, place, untried},
     replica::Place,
     retry::{Next, Outcome, Tries},
-    send::{read_whole, send},
+    send::{Outgoing, read_whole, send},
     state::{State, lock},
     walk::Job,
 };
@@ -98,7 +98,7 @@
 ) -> Result<Response<Full<Bytes>>, Outcome> {
     let replica = place.replica.clone();
     let began = Instant::now();
-    let sent = send(state, job, &job.body, place).await?;
+    let sent = send(state, job, Outgoing { body: &job.body, after: None }, place).await?;
     let status = sent.response.status();
     let (mut headers, body, lease) = read_whole(state, job, sent).await?;
     replica.note_delay(began.elapsed().as_secs_f64() * 1e3);
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod programs;
 mod relay;
 mod replica;
+mod resume;
 mod retry;
 mod send;
 mod state;
@@ -29,7 +30,7 @@
 
 pub use admit::STREAM_LATE_SHARE;
 pub use choice::{Candidate, ChoiceSettings, choose};
-pub use events::EventCount;
+pub use events::{EventCount, Repeated, WholeEvents};
 pub use fleet::Fleet;
 pub use held::{Held, Room};
 pub use instance::{GatewayError, run_gateway, run_ledger};
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -15,9 +15,10 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    EventCount, Room,
+    EventCount, Repeated, Room, WholeEvents,
     admit::{note_delay, note_pace},
-    send::Lease,
+    resume::Resume,
+    send::{Lease, Sent},
     state::State,
     walk::Job,
 };
@@ -32,6 +33,11 @@
 /// Others go first for this long after a replica broke a stream off.
 const FAILED_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time without an event after which a stream that may be resumed goes on
+/// elsewhere. Clients leave after two seconds or more, and another replica
+/// reads the prompt first; sound streams pause for some hundred ms.
+const STALL_TIME: Duration = Duration::from_millis(1_500);
+
 quick_error! {
     /// Why a client's stream is cut off. The connection then ends without
     /// the end of the answer, so that it never looks whole.
@@ -41,6 +47,19 @@
         Replica(err: hyper::Error) {
             display("the replica broke off: {err}")
         }
+        /// The replica broke off in the middle of an event.
+        Torn {
+            display("the replica broke off in the middle of an event")
+        }
+        /// The replica sent nothing for too long.
+        Stalled {
+            display("the replica went silent")
+        }
+        /// The replica did not go on after the last event.
+        Repeated(err: Repeated) {
+            from()
+            display("{err}")
+        }
         /// More came than the turn can have: no answer, and not to be kept.
         Endless {
             display("more came than the turn can have")
@@ -98,6 +117,10 @@
     lease: Option<Lease<D>>,
     headers: HeaderMap,
     upstream: Name,
+    /// Set if the stream may go on at another replica.
+    resume: Option<Resume>,
+    /// Only whole events are passed on of a stream that may be resumed.
+    cut: WholeEvents,
     /// All pieces passed on, on routes that keep turns.
     passed: Vec<Bytes>,
     room: Room,
@@ -112,19 +135,21 @@
 impl<D: Deployment> Relay<D> {
     pub(crate) fn new(
         settle: Settle<D>,
-        events: Incoming,
-        lease: Lease<D>,
-        headers: HeaderMap,
+        sent: Sent<D>,
         began: Instant,
         foreign: Option<Bytes>,
+        resume: Option<Resume>,
     ) -> Self {
+        let (head, events) = sent.response.into_parts();
         Relay {
             room: settle.state.held.room(),
             settle,
             events,
-            upstream: lease.replica().upstream.id.name.clone(),
-            lease: Some(lease),
-            headers,
+            upstream: sent.lease.replica().upstream.id.name.clone(),
+            lease: Some(sent.lease),
+            headers: head.headers,
+            resume,
+            cut: WholeEvents::default(),
             passed: Vec::new(),
             began,
             foreign,
@@ -136,17 +161,13 @@
     /// The next piece; `None` once the turn is kept.
     async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
-            let deadline = self.settle.job.deadline;
-            let frame = time::timeout_at(deadline, self.events.frame()).await;
-            match frame.map_err(|_| RelayError::Late)? {
-                None => break,
-                Some(Err(err)) => return Err(RelayError::Replica(err)),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.note(&data)?;
-                        return Ok(Some(data));
-                    }
+            match self.read().await {
+                Ok(None) => break,
+                Ok(Some(data)) => {
+                    self.note(&data)?;
+                    return Ok(Some(data));
                 }
+                Err(err) => self.go_on(err).await?,
             }
         }
         if let Some(lease) = self.lease.take() {
@@ -160,6 +181,71 @@
         Ok(None)
     }
 
+    /// The next bytes to pass on; `None` at the stream's end.
+    async fn read(&mut self) -> Result<Option<Bytes>, RelayError> {
+        let deadline = self.settle.job.deadline;
+        let may_go_on = self.resume.is_some();
+        // Bytes that end no event are no progress.
+        let stall = Instant::now() + STALL_TIME;
+        let limit = if may_go_on { deadline.min(stall) } else { deadline };
+        loop {
+            let Ok(frame) = time::timeout_at(limit, self.events.frame()).await else {
+                return Err(if limit < deadline { RelayError::Stalled } else { RelayError::Late });
+            };
+            match frame {
+                None if self.is_torn() => return Err(RelayError::Torn),
+                None => return Ok(None),
+                Some(Err(err)) => return Err(RelayError::Replica(err)),
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    if !may_go_on {
+                        return Ok(Some(data));
+                    }
+                    let whole = self.cut.take(&data)?;
+                    if !whole.is_empty() {
+                        return Ok(Some(whole));
+                    }
+                    if self.cut.open_bytes() > EVENT_MAX_BYTES {
+                        return Err(RelayError::Endless);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether an event has begun that is not whole.
+    fn is_torn(&self) -> bool {
+        self.cut.has_open() || self.settle.events.open_bytes() > 0
+    }
+
+    /// Goes on at another replica after the last event that was passed on, if
+    /// that is allowed; else returns why the stream ends.
+    async fn go_on(&mut self, err: RelayError) -> Result<(), RelayError> {
+        use RelayError::{Repeated, Replica, Stalled, Torn};
+        let is_broken = matches!(err, Replica(_) | Torn | Stalled | Repeated(_));
+        let Some(resume) = self.resume.as_mut().filter(|_| is_broken) else { return Err(err) };
+        let (state, job) = (self.settle.state.clone(), self.settle.job.clone());
+        log::warn!(
+            "event=stream_broke request={} replica={} reason={err}",
+            job.id(),
+            self.upstream
+        );
+        // The connection ends with the lease, and the former run with it.
+        if let Some(lease) = self.lease.take() {
+            lease.replica().suspect(FAILED_TIME);
+        }
+        self.cut.drop_open();
+        let Some(sent) = resume.go_on(&state, &job, self.cut.last()).await else {
+            return Err(err);
+        };
+        let (head, events) = sent.response.into_parts();
+        self.upstream = sent.lease.replica().upstream.id.name.clone();
+        self.lease = Some(sent.lease);
+        self.headers = head.headers;
+        self.events = events;
+        Ok(())
+    }
+
     /// Takes in a piece before it is passed on.
     fn note(&mut self, data: &Bytes) -> Result<(), RelayError> {
         if self.first.is_none() {
@@ -226,7 +312,9 @@
         let ms = job.began.elapsed().as_millis();
         let result = match error {
             None => "whole",
-            Some(RelayError::Replica(_)) => "replica_broke_off",
+            Some(RelayError::Replica(_) | RelayError::Torn) => "replica_broke_off",
+            Some(RelayError::Stalled) => "stalled",
+            Some(RelayError::Repeated(_)) => "repeated",
             Some(RelayError::Late) => "late",
             Some(RelayError::Endless) => "endless",
             Some(RelayError::Unkept(_)) => "unkept",
--- a/crates/gg-gateway/src/retry.rs
+++ b/crates/gg-gateway/src/retry.rs
@@ -1,7 +1,5 @@
 //! Whether a request goes to another replica. The one place that decides it.
 
-use gg_route::RouteKind;
-
 /// How one send ended without an answer that can be passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -30,7 +28,7 @@
 /// Sends of one client attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Tries {
-    kind: RouteKind,
+    is_repeatable: bool,
     /// Replicas that it may still be sent to.
     left: u32,
     unsent_left: u32,
@@ -38,9 +36,10 @@
 }
 
 impl Tries {
-    /// No sends yet; at most `attempts` replicas may get the request.
-    pub fn new(kind: RouteKind, attempts: u32) -> Self {
-        Tries { kind, left: attempts, unsent_left: UNSENT_MAX, has_maybe_run: false }
+    /// No sends yet; at most `attempts` replicas may get the request, more
+    /// than one of them may run it if it is repeatable.
+    pub fn new(is_repeatable: bool, attempts: u32) -> Self {
+        Tries { is_repeatable, left: attempts, unsent_left: UNSENT_MAX, has_maybe_run: false }
     }
 
     /// A send begins.
@@ -50,7 +49,7 @@
 
     /// Whether a second send may begin beside one that has no answer yet.
     pub fn may_hedge(&self) -> bool {
-        self.kind.is_repeatable() && self.left > 0
+        self.is_repeatable && self.left > 0
     }
 
     /// Takes in how a send ended. `is_late` says that no time is left.
@@ -64,7 +63,7 @@
             Outcome::Unexecuted => {}
             Outcome::Unknown => self.has_maybe_run = true,
         }
-        let is_allowed = self.kind.is_repeatable() || !self.has_maybe_run;
+        let is_allowed = self.is_repeatable || !self.has_maybe_run;
         if is_allowed && !is_late && self.left > 0 && self.unsent_left > 0 {
             Next::Retry
         } else {
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -62,6 +62,14 @@
     }
 }
 
+/// What is sent of a job.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outgoing<'a> {
+    pub(crate) body: &'a Bytes,
+    /// Event after which a stream is to go on.
+    pub(crate) after: Option<&'a str>,
+}
+
 /// The head of an answer, its body still to be read.
 pub(crate) struct Sent<D: Deployment> {
     pub(crate) response: Response<Incoming>,
@@ -88,15 +96,15 @@
     }
 }
 
-/// Sends a job with `body` to the replica of `place` and waits for the head
+/// Sends a job to the replica of `place` and waits for the head
 /// of its answer.
 pub(crate) async fn send<D: Deployment>(
     state: &Arc<State<D>>,
     job: &Arc<Job>,
-    body: &Bytes,
+    outgoing: Outgoing<'_>,
     place: Place,
 ) -> Result<Sent<D>, Outcome> {
-    let sent = try_send(state, job, body, place).await;
+    let sent = try_send(state, job, outgoing, place).await;
     let outcome = match &sent {
         Ok(_) => "answered",
         Err(Outcome::Unsent) => "unsent",
@@ -110,11 +118,11 @@
 async fn try_send<D: Deployment>(
     state: &Arc<State<D>>,
     job: &Arc<Job>,
-    body: &Bytes,
+    outgoing: Outgoing<'_>,
     place: Place,
 ) -> Result<Sent<D>, Outcome> {
     let replica = place.replica.clone();
-    let request = build(state, job, body, &replica);
+    let request = build(state, job, outgoing, &replica);
     let mut underway = Underway::new(state, job, &replica);
     let answered = {
         let exchange = exchange(job, &replica, request, &mut underway);
@@ -253,9 +261,10 @@
 fn build<D: Deployment>(
     state: &State<D>,
     job: &Job,
-    body: &Bytes,
+    outgoing: Outgoing<'_>,
     replica: &Replica,
 ) -> Request<Full<Bytes>> {
+    let body = outgoing.body;
     let left = job.deadline.saturating_duration_since(Instant::now());
     let mut request = Request::new(Full::new(body.clone()));
     *request.method_mut() = job.head.method.clone();
@@ -265,6 +274,9 @@
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
     state.dialect.prepare(&mut headers, &replica.upstream.id, left);
+    if let Some(last) = outgoing.after {
+        state.dialect.resume(&mut headers, last);
+    }
     if !body.is_empty() || job.has_body {
         headers.insert(header::CONTENT_LENGTH, body.len().into());
     }
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -18,7 +18,8 @@
     call::{next, refusal},
     place::place,
     relay::{Relay, RelayError, Settle, relay},
-    send::{read_whole, send},
+    resume::Resume,
+    send::{Outgoing, read_whole, send},
     state::State,
     walk::{Answer, Job},
 };
@@ -41,7 +42,7 @@
         tried.push(place.replica.upstream.id.clone());
         let began = Instant::now();
         tries.begin();
-        let sent = match send(state, job, &body, place).await {
+        let sent = match send(state, job, Outgoing { body: &body, after: None }, place).await {
             Ok(sent) => sent,
             Err(outcome) => {
                 next(job, &mut tries, outcome)?;
@@ -65,11 +66,11 @@
                 }
             }
         }
-        let (head, events) = sent.response.into_parts();
-        let mut headers = head.headers.clone();
+        let mut headers = sent.response.headers().clone();
         strip_hop_headers(&mut headers);
         let foreign = opened.is_foreign.then(|| opened.history.clone());
-        let stream = relay(Relay::new(settle, events, sent.lease, head.headers, began, foreign));
+        let resume = job.route.is_resumable.then(|| Resume { prompt: body, opened, tries, tried });
+        let stream = relay(Relay::new(settle, sent, began, foreign, resume));
         let mut response = Response::new(Either::Right(StreamBody::new(stream)));
         *response.headers_mut() = headers;
         return Ok(response);
--- a/crates/gg-gateway/src/walk.rs
+++ b/crates/gg-gateway/src/walk.rs
@@ -53,7 +53,7 @@
     }
 
     pub(crate) fn tries(&self) -> Tries {
-        Tries::new(self.route.kind, self.route.attempts)
+        Tries::new(self.route.is_repeatable(), self.route.attempts)
     }
 }
 
--- a/crates/gg-gateway/tests/retry.rs
+++ b/crates/gg-gateway/tests/retry.rs
@@ -11,7 +11,7 @@
 #[test]
 fn at_most_once() {
     for kind in [RouteKind::AtMostOnce, RouteKind::Stream] {
-        let mut tries = Tries::new(kind, 5);
+        let mut tries = Tries::new(kind.is_repeatable(), 5);
         assert_eq!(send(&mut tries, Outcome::Unsent), Next::Retry);
         assert_eq!(send(&mut tries, Outcome::Unexecuted), Next::Retry);
         assert!(!tries.may_hedge());
@@ -21,7 +21,7 @@
 
 #[test]
 fn repeatable() {
-    let mut tries = Tries::new(RouteKind::Idempotent, 3);
+    let mut tries = Tries::new(RouteKind::Idempotent.is_repeatable(), 3);
     assert_eq!(send(&mut tries, Outcome::Unknown), Next::Retry);
     assert_eq!(send(&mut tries, Outcome::Unexecuted), Next::Retry);
     assert_eq!(send(&mut tries, Outcome::Unexecuted), Next::GiveUp, "the first may have run");
@@ -29,9 +29,9 @@
 
 #[test]
 fn attempts_spent() {
-    let mut tries = Tries::new(RouteKind::AtMostOnce, 1);
+    let mut tries = Tries::new(RouteKind::AtMostOnce.is_repeatable(), 1);
     assert_eq!(send(&mut tries, Outcome::Unexecuted), Next::Refuse, "it never ran");
-    let mut tries = Tries::new(RouteKind::AtMostOnce, 2);
+    let mut tries = Tries::new(RouteKind::AtMostOnce.is_repeatable(), 2);
     for _ in 0..3 {
         assert_eq!(send(&mut tries, Outcome::Unsent), Next::Retry);
     }
@@ -41,7 +41,7 @@
 /// Attempts bound the replicas that have a request, also side by side.
 #[test]
 fn hedges() {
-    let mut tries = Tries::new(RouteKind::Idempotent, 2);
+    let mut tries = Tries::new(RouteKind::Idempotent.is_repeatable(), 2);
     tries.begin();
     assert!(tries.may_hedge());
     tries.begin();
@@ -51,8 +51,8 @@
 
 #[test]
 fn no_time_left() {
-    let mut tries = Tries::new(RouteKind::Idempotent, 3);
+    let mut tries = Tries::new(RouteKind::Idempotent.is_repeatable(), 3);
     assert_eq!(tries.note(Outcome::Unexecuted, true), Next::Refuse);
-    let mut tries = Tries::new(RouteKind::Idempotent, 3);
+    let mut tries = Tries::new(RouteKind::Idempotent.is_repeatable(), 3);
     assert_eq!(tries.note(Outcome::Unknown, true), Next::GiveUp);
 }
--- a/crates/gg-route/src/configuration.rs
+++ b/crates/gg-route/src/configuration.rs
@@ -11,7 +11,8 @@
     Idempotent,
     /// Runs at most once for each client attempt.
     AtMostOnce,
-    /// A stream of events; runs at most once as well.
+    /// A stream of events; runs at most once as well, unless its route says
+    /// that it may be resumed.
     Stream,
 }
 
@@ -69,11 +70,21 @@
     /// Whether turns are kept, so that later ones carry only their new input.
     /// Programs have accounts on either kind of route.
     pub keeps_turns: bool,
+    /// Whether a stream may be resumed after the last event that arrived, also
+    /// at another replica.
+    pub is_resumable: bool,
     /// Whether requests that concern one object go to the replica that
     /// handled it before.
     pub is_sticky: bool,
 }
 
+impl Route {
+    /// Whether a request may be sent again after it may have run.
+    pub fn is_repeatable(&self) -> bool {
+        self.kind.is_repeatable() || (self.kind == RouteKind::Stream && self.is_resumable)
+    }
+}
+
 /// One service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/crates/gg-route/src/deployment.rs
+++ b/crates/gg-route/src/deployment.rs
@@ -30,6 +30,9 @@
     /// `left` over it. Takes out what a client must not set.
     fn prepare(&self, headers: &mut HeaderMap, upstream: &UpstreamId, left: Duration);
 
+    /// Asks for a stream from the event after `last` on.
+    fn resume(&self, headers: &mut HeaderMap, last: &str);
+
     /// Reads the marks of a replica's answer to `request`.
     fn marks(&self, headers: &HeaderMap, request: &str) -> ReplyMarks;
 }
--- a/crates/gg-route/tests/table.rs
+++ b/crates/gg-route/tests/table.rs
@@ -17,6 +17,7 @@
         attempts: 2,
         retention: Retention::default(),
         keeps_turns: false,
+        is_resumable: false,
         is_sticky: false,
     }
 }
