A slow but sound stream is cut nowhere

Cause: the time without an event after which a stream goes on elsewhere also ended streams that no other replica may have (max-attempts 1): any pause of 1.5 s cut them.

Change: that time counts only while another replica may still be asked.

--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -60,7 +60,7 @@
                 }
                 Err(outcome) => outcome,
             },
-            () = silent, if tries.may_hedge() => {
+            () = silent, if tries.may_repeat() => {
                 if let Some(place) = hedge(state, job, &tried) {
                     tried.push(place.replica.upstream.id.clone());
                     tries.begin();
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -184,7 +184,8 @@
     /// The next bytes to pass on; `None` at the stream's end.
     async fn read(&mut self) -> Result<Option<Bytes>, RelayError> {
         let deadline = self.settle.job.deadline;
-        let may_go_on = self.resume.is_some();
+        let is_cut = self.resume.is_some();
+        let may_go_on = self.resume.as_ref().is_some_and(|resume| resume.tries.may_repeat());
         // Bytes that end no event are no progress.
         let stall = Instant::now() + STALL_TIME;
         let limit = if may_go_on { deadline.min(stall) } else { deadline };
@@ -198,7 +199,7 @@
                 Some(Err(err)) => return Err(RelayError::Replica(err)),
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    if !may_go_on {
+                    if !is_cut {
                         return Ok(Some(data));
                     }
                     let whole = self.cut.take(&data)?;
--- a/crates/gg-gateway/src/retry.rs
+++ b/crates/gg-gateway/src/retry.rs
@@ -47,8 +47,8 @@
         self.left = self.left.saturating_sub(1);
     }
 
-    /// Whether a second send may begin beside one that has no answer yet.
-    pub fn may_hedge(&self) -> bool {
+    /// Whether another send may begin beside or after one that may have run.
+    pub fn may_repeat(&self) -> bool {
         self.is_repeatable && self.left > 0
     }
 
--- a/crates/gg-gateway/tests/retry.rs
+++ b/crates/gg-gateway/tests/retry.rs
@@ -14,7 +14,7 @@
         let mut tries = Tries::new(kind.is_repeatable(), 5);
         assert_eq!(send(&mut tries, Outcome::Unsent), Next::Retry);
         assert_eq!(send(&mut tries, Outcome::Unexecuted), Next::Retry);
-        assert!(!tries.may_hedge());
+        assert!(!tries.may_repeat());
         assert_eq!(send(&mut tries, Outcome::Unknown), Next::GiveUp, "it may have run");
     }
 }
@@ -43,9 +43,9 @@
 fn hedges() {
     let mut tries = Tries::new(RouteKind::Idempotent.is_repeatable(), 2);
     tries.begin();
-    assert!(tries.may_hedge());
+    assert!(tries.may_repeat());
     tries.begin();
-    assert!(!tries.may_hedge());
+    assert!(!tries.may_repeat());
     assert_eq!(tries.note(Outcome::Unknown, false), Next::GiveUp);
 }
 
