Instances that follow the directory do so at once after a restart

Cause: since a few ledger instances follow the directory for the others, each waited 1 s after its start for kinds other than the instances themselves, and asked others only every 300 ms.

Change: an instance that finds itself among those that follow does not wait; the others, and gateways, ask every 40 ms until something of each kind is known.

No test of its own: it would be one on wall time.

--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -34,6 +34,10 @@
 /// change is heard of.
 const ASK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The same until a configuration and replicas are known: a restart ends
+/// sooner.
+const START_PAUSE: Duration = Duration::from_millis(40);
+
 /// With more gateways than this, each asks less often, down to half as often:
 /// its answers stay fresh ([`FRESH_TIME`]) with one lost.
 const ASKERS_FULL: u32 = 120;
@@ -106,7 +110,9 @@
             }
         }
         let crowd = f64::from(state.gateways()) / f64::from(ASKERS_FULL);
-        time::sleep(ASK_INTERVAL.mul_f64(crowd.clamp(1.0, 2.0))).await;
+        let is_told = state.table().is_some() && state.fleet.is_usable();
+        let pause = if is_told { ASK_INTERVAL } else { START_PAUSE };
+        time::sleep(pause.mul_f64(crowd.clamp(1.0, 2.0))).await;
     }
 }
 
--- a/crates/gg-ledger/src/keeper.rs
+++ b/crates/gg-ledger/src/keeper.rs
@@ -50,6 +50,9 @@
 /// how late a change is heard of.
 const ASK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The same until something is known of each kind: a restart ends sooner.
+const ASK_PAUSE: Duration = Duration::from_millis(40);
+
 /// Longest wait for their answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -147,7 +150,13 @@
     /// Follows one kind while no other instance tells of it.
     async fn follow(&self, source: &Source) {
         if source.kind != Kind::Ledgers {
-            time::sleep(START_PATIENCE).await;
+            let watching = async {
+                while !self.is_watcher() {
+                    time::sleep(ASK_PAUSE).await;
+                }
+            };
+            // In the end it is followed either way.
+            let _ = time::timeout(START_PATIENCE, watching).await;
         }
         let take = |news| self.take(source, news);
         let settings = FollowSettings::default();
@@ -158,7 +167,8 @@
     /// one of them.
     async fn ask_watchers(&self) {
         loop {
-            time::sleep(ASK_INTERVAL).await;
+            let is_told = self.sources.iter().all(|source| source.revision() > 0);
+            time::sleep(if is_told { ASK_INTERVAL } else { ASK_PAUSE }).await;
             let known: Vec<(Kind, u64)> =
                 self.sources.iter().map(|source| (source.kind, source.revision())).collect();
             let calls = self.asked().into_iter().map(async |link| {
@@ -173,13 +183,20 @@
         }
     }
 
-    /// Instances to ask; none if this one follows the directory itself.
-    fn asked(&self) -> Vec<Arc<Link>> {
+    /// Whether this instance is one of those that follow the directory.
+    fn is_watcher(&self) -> bool {
         let known = self.known();
         let names = watchers(known.registered.keys(), self.settings.tolerated);
-        if names.contains(&&self.settings.member.instance) {
+        names.contains(&&self.settings.member.instance)
+    }
+
+    /// Instances to ask; none if this one follows the directory itself.
+    fn asked(&self) -> Vec<Arc<Link>> {
+        if self.is_watcher() {
             return Vec::new();
         }
+        let known = self.known();
+        let names = watchers(known.registered.keys(), self.settings.tolerated);
         let links = lock(&self.links);
         let disks = names.iter().filter_map(|name| known.registered.get(*name));
         let all = disks.filter_map(|found| links.get(found.member.disk));
