The next turn of a line goes to the replica that has read its prompt

A part that keeps its name and grows (the line's own) counted as read whole.

Change: what a turn spent is told with the replica that ran it; the account remembers the last replica of each line (in memory, 8 lines), and the answer to the next reservation names it, or that of the program's last turn for a new line. KeptParts knows the length of a part.

--- a/crates/gg-gateway/src/kept.rs
+++ b/crates/gg-gateway/src/kept.rs
@@ -13,22 +13,37 @@
 /// Parts of prompts that one replica has read.
 #[derive(Clone, Debug, Default)]
 pub struct KeptParts {
-    /// Tokens read so far when the part was last used.
-    used: HashMap<Name, u64>,
+    kept: HashMap<Name, Kept>,
     /// Tokens that the replica is believed to have read so far, for all
     /// gateways.
     read: u64,
 }
 
+/// A part that was read.
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    /// Its length then; the last part of a line's prompt grows.
+    tokens: u32,
+    /// Tokens read so far when it was last used.
+    used: u64,
+}
+
 impl KeptParts {
     /// Tokens of a prompt that the replica has to read: those after the
     /// longest run of parts that it is believed to keep. It keeps `room`
     /// tokens and forgets those not used for longest.
     pub fn unread(&self, parts: &[Part], room: u64) -> u64 {
-        let is_kept =
-            |part: &&Part| self.used.get(&part.id).is_some_and(|used| self.read - used < room);
-        let kept = parts.iter().take_while(is_kept).count();
-        parts[kept..].iter().map(|part| u64::from(part.tokens)).sum()
+        let mut unread = 0;
+        let has_room = |kept: &&Kept| self.read - kept.used + u64::from(kept.tokens) <= room;
+        for part in parts {
+            let kept = self.kept.get(&part.id).filter(has_room);
+            let kept = kept.map_or(0, |kept| kept.tokens);
+            // What follows a token that is read is read as well.
+            let is_read_on = unread > 0;
+            unread +=
+                u64::from(if is_read_on { part.tokens } else { part.tokens.saturating_sub(kept) });
+        }
+        unread
     }
 
     /// The replica has read a prompt. As many gateways as `readers` are
@@ -36,14 +51,14 @@
     pub fn note(&mut self, parts: &[Part], room: u64, readers: u32) {
         self.read += self.unread(parts, room) * u64::from(readers.max(1));
         for part in parts {
-            self.used.insert(part.id.clone(), self.read);
+            self.kept.insert(part.id.clone(), Kept { tokens: part.tokens, used: self.read });
         }
-        if self.used.len() > PARTS_MAX {
-            let mut ages: Vec<u64> = self.used.values().copied().collect();
-            ages.sort_unstable();
-            let oldest = ages[ages.len() - PARTS_MAX / 2];
+        if self.kept.len() > PARTS_MAX {
+            let mut uses: Vec<u64> = self.kept.values().map(|kept| kept.used).collect();
+            uses.sort_unstable();
+            let oldest = uses[uses.len() - PARTS_MAX / 2];
             let read = self.read;
-            self.used.retain(|_, used| *used >= oldest && read - *used < room);
+            self.kept.retain(|_, kept| kept.used >= oldest && read - kept.used < room);
         }
     }
 }
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, stream};
-use gg_ledger::TurnRecord;
+use gg_ledger::{LastRun, TurnRecord};
 use gg_protocol::Name;
 use gg_route::Deployment;
 use http::HeaderMap;
@@ -81,12 +81,21 @@
     job: Arc<Job>,
     /// Events handed to the client.
     events: EventCount,
+    /// Replica that runs it, once its answer has begun.
+    upstream: Option<Name>,
     is_settled: bool,
 }
 
 impl<D: Deployment> Settle<D> {
     pub(crate) fn new(state: Arc<State<D>>, job: Arc<Job>) -> Self {
-        Settle { state, job, events: EventCount::default(), is_settled: false }
+        Settle { state, job, events: EventCount::default(), upstream: None, is_settled: false }
+    }
+
+    /// Which replica keeps the prompt of the turn's line, where no record of
+    /// the turn tells.
+    fn last_run(&mut self) -> Option<LastRun> {
+        let line = self.job.envelope.session.clone().filter(|_| !self.job.route.keeps_turns)?;
+        Some(LastRun { line, upstream: self.upstream.take()? })
     }
 
     /// Tokens handed to the client.
@@ -105,7 +114,8 @@
 impl<D: Deployment> Drop for Settle<D> {
     fn drop(&mut self) {
         if !self.is_settled {
-            self.state.ledger.settle(&self.job.turn_key(), self.tokens());
+            let run = self.last_run();
+            self.state.ledger.settle(&self.job.turn_key(), self.tokens(), run);
         }
     }
 }
@@ -241,6 +251,7 @@
         };
         let (head, events) = sent.response.into_parts();
         self.upstream = sent.lease.replica().upstream.id.name.clone();
+        self.settle.upstream = Some(self.upstream.clone());
         self.lease = Some(sent.lease);
         self.headers = head.headers;
         self.events = events;
@@ -258,6 +269,7 @@
                 note_delay(&settle.state, &settle.job, self.began.elapsed(), reading);
                 let job = &self.settle.job;
                 replica.note_read(job.prompt(), &job.service, settle.state.gateways());
+                self.settle.upstream = Some(replica.upstream.id.name.clone());
             }
         }
         let mut events = self.settle.events;
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -84,6 +84,7 @@
         key: job.turn_key(),
         previous: turn.previous.clone().filter(|_| route.keeps_turns),
         budget: budget(job),
+        line: job.envelope.session.clone().filter(|_| !route.keeps_turns),
         keep_ms: (!route.keeps_turns).then(|| route.retention.as_millis()),
     };
     let began = Instant::now();
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     Chain, Crashes, Layout, LedgerError, Member, TurnRecord,
-    index::Spent,
+    index::{LastRun, Spent},
     link::{Link, Scope},
     links::Links,
     node::lock,
@@ -78,6 +78,8 @@
     pub previous: Option<Name>,
     /// Budget of the program in tokens, and the most that this turn spends.
     pub budget: Option<(u64, u32)>,
+    /// Line of turns whose last replica is asked for, where no chain tells.
+    pub line: Option<Name>,
     /// Set for a turn whose text is not kept when it ends: milliseconds for
     /// which its account is kept after its last use.
     pub keep_ms: Option<u32>,
@@ -95,6 +97,18 @@
     pub is_foreign: bool,
 }
 
+/// Tokens set aside on enough members.
+#[derive(Debug, Default)]
+struct Reserved {
+    /// The most that others hold.
+    most: u64,
+    /// The chain, if the nearest member has answered.
+    chain: Option<Chain>,
+    /// Replica that ran the line's last turn, as the first member says that
+    /// knows of one.
+    upstream: Option<Name>,
+}
+
 /// Client of the ledger.
 #[derive(Debug)]
 pub struct Ledger {
@@ -202,12 +216,12 @@
             time::sleep(ROUND_PAUSE).await;
         }
         // Some members may have set tokens aside for a turn that is refused.
-        self.settle(&request.key, 0);
+        self.settle(&request.key, 0, None);
         Err(last)
     }
 
     async fn try_open(&self, view: &View, request: &OpenRequest) -> Result<Opened, LedgerError> {
-        let (most, chain) = self.reserve(view, request).await?;
+        let Reserved { most, chain, upstream } = self.reserve(view, request).await?;
         if let (Some(program), Some((budget, tokens))) = (&request.key.program, request.budget) {
             let tokens = u64::from(tokens);
             // One member may have missed what another one knows.
@@ -222,23 +236,18 @@
                     view.scope.partition,
                     view.scope.epoch
                 );
-                self.settle(&request.key, 0);
+                self.settle(&request.key, 0, None);
                 return Err(LedgerError::BudgetSpent(spent));
             }
         }
         match &request.previous {
-            None => Ok(Opened::default()),
+            None => Ok(Opened { upstream, ..Opened::default() }),
             Some(previous) => self.history(view, previous, chain).await,
         }
     }
 
-    /// Sets the tokens aside on enough members; returns the most that others
-    /// hold, and the chain if the nearest member has answered.
-    async fn reserve(
-        &self,
-        view: &View,
-        request: &OpenRequest,
-    ) -> Result<(u64, Option<Chain>), LedgerError> {
+    /// Sets the tokens aside on enough members.
+    async fn reserve(&self, view: &View, request: &OpenRequest) -> Result<Reserved, LedgerError> {
         let nearest =
             view.nearest(&self.centre).ok_or(LedgerError::Unavailable("no member connected"))?;
         let program = request.key.program.clone();
@@ -247,6 +256,7 @@
             turn: request.key.turn.clone(),
             reserve: reserve.clone(),
             keep_ms: request.keep_ms,
+            line: request.line.clone(),
             chain: request.previous.clone().filter(|_| link.member.disk == nearest),
         };
         let (first, others) = view.links.split_at(view.first);
@@ -256,18 +266,18 @@
             first.iter().map(|link| call(link, ask(link))).collect();
         let mut others = Some(others);
         let mut answered = Vec::new();
-        let mut most = 0;
-        let mut chain = None;
+        let mut reserved = Reserved::default();
         loop {
             let is_enough = view.is_enough(&answered);
-            if is_enough && (request.previous.is_none() || chain.is_some()) {
+            if is_enough && (request.previous.is_none() || reserved.chain.is_some()) {
                 break;
             }
             match time::timeout(FIRST_PATIENCE, calls.next()).await {
-                Ok(Some((disk, Ok(Answer::Opened { others, chain: found })))) => {
+                Ok(Some((disk, Ok(Answer::Opened { others, chain, upstream })))) => {
                     answered.push(disk);
-                    most = others.max(most);
-                    chain = chain.or(found);
+                    reserved.most = others.max(reserved.most);
+                    reserved.chain = reserved.chain.or(chain);
+                    reserved.upstream = reserved.upstream.or(upstream);
                 }
                 Ok(Some((disk, Ok(other)))) => {
                     return Err(self.take_refusal(disk, other));
@@ -283,7 +293,7 @@
             }
         }
         match view.is_enough(&answered) {
-            true => Ok((most, chain)),
+            true => Ok(reserved),
             false => Err(LedgerError::Unavailable("too few members answered")),
         }
     }
@@ -431,12 +441,13 @@
         Err(LedgerError::Unavailable("too few members know the chain"))
     }
 
-    /// Tells what a turn has spent that did not finish whole.
-    pub fn settle(&self, key: &TurnKey, tokens: u32) {
+    /// Tells what a turn has spent of which nothing is kept, and which replica
+    /// ran it.
+    pub fn settle(&self, key: &TurnKey, tokens: u32, run: Option<LastRun>) {
         let Some(program) = key.program.clone() else { return };
         let view = self.view(self.partition(key));
         let settle = Some((program, tokens));
-        let ask = Ask::Close { turn: key.turn.clone(), settle, record: None };
+        let ask = Ask::Close { turn: key.turn.clone(), settle, record: None, run };
         view.links.iter().for_each(|link| link.tell(view.scope, ask.clone()));
     }
 
@@ -449,7 +460,8 @@
         record: TurnRecord,
     ) -> Result<(), LedgerError> {
         let settle = key.program.clone().zip(tokens);
-        let ask = Ask::Close { turn: key.turn.clone(), settle, record: Some(record) };
+        let record = Some(record);
+        let ask = Ask::Close { turn: key.turn.clone(), settle, record, run: None };
         let limit = Instant::now() + CLOSE_TIMEOUT;
         while Instant::now() < limit {
             let view = self.view(self.partition(key));
--- a/crates/gg-ledger/src/index.rs
+++ b/crates/gg-ledger/src/index.rs
@@ -47,11 +47,26 @@
     }
 }
 
+/// Lines of turns of one program whose replicas are remembered; the oldest
+/// goes first.
+const LINES_MAX: usize = 8;
+
+/// Which replica ran the last turn of a line, whose prompt it keeps.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LastRun {
+    /// Line of turns.
+    pub line: Name,
+    /// Replica.
+    pub upstream: Name,
+}
+
 #[derive(Debug)]
 struct Account {
     turns: HashMap<Name, Spend>,
     total: u64,
     used: Instant,
+    /// A hint, so it is not written to the log.
+    runs: Vec<LastRun>,
 }
 
 #[derive(Debug)]
@@ -90,7 +105,7 @@
     }
 
     fn open_account(&mut self, program: Name, now: Instant) -> &mut Account {
-        let empty = || Account { turns: HashMap::new(), total: 0, used: now };
+        let empty = || Account { turns: HashMap::new(), total: 0, used: now, runs: Vec::new() };
         let account = self.accounts.entry(program).or_insert_with(empty);
         account.used = now;
         account
@@ -141,6 +156,24 @@
         self.keep >= Duration::from_millis(keep_ms.into())
     }
 
+    /// Takes in which replica ran the last turn of a line of a program.
+    pub fn note_run(&mut self, program: &str, run: LastRun) {
+        let Some(account) = self.accounts.get_mut(program) else { return };
+        account.runs.retain(|known| known.line != run.line);
+        if account.runs.len() >= LINES_MAX {
+            account.runs.remove(0);
+        }
+        account.runs.push(run);
+    }
+
+    /// The replica that ran the last turn of a line, or the last one of its
+    /// program, which a new line continues.
+    pub fn last_run(&self, program: &str, line: &str) -> Option<Name> {
+        let runs = &self.accounts.get(program)?.runs;
+        let own = runs.iter().find(|run| &*run.line == line);
+        own.or(runs.last()).map(|run| run.upstream.clone())
+    }
+
     /// Whether any turn of a program has spent or set aside tokens.
     pub fn has_account(&self, program: &str) -> bool {
         self.accounts.contains_key(program)
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -33,7 +33,7 @@
 pub use crashes::{AgedFact, Content, CrashFact, Crashes};
 pub use entry::{Line, Placed, TurnRecord};
 pub use error::LedgerError;
-pub use index::{Chain, Index};
+pub use index::{Chain, Index, LastRun};
 pub use keeper::{Keeper, KeeperSettings};
 pub use log_file::{LogFile, LogSettings, Recovered, encode_line};
 pub use news::Heard;
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     AgedFact, Layout, Line, Strains, TurnRecord,
-    index::{Chain, Spent},
+    index::{Chain, LastRun, Spent},
 };
 
 /// Largest frame, in bytes; a chain of 280,000 tokens fits.
@@ -64,6 +64,8 @@
         /// then set aside on disk before the answer, and the account is kept
         /// for so many milliseconds after its last use.
         keep_ms: Option<u32>,
+        /// Line of turns whose last replica is asked for.
+        line: Option<Name>,
         /// Turn whose chain is wanted from this instance.
         chain: Option<Name>,
     },
@@ -75,6 +77,8 @@
         settle: Option<(Name, u32)>,
         /// The turn, if it finished whole.
         record: Option<TurnRecord>,
+        /// Replica that ran it, if nothing else tells.
+        run: Option<LastRun>,
     },
     /// Tell what each turn of a program spent or set aside.
     Account(Name),
@@ -131,6 +135,8 @@
         others: u64,
         /// The chain, if it was asked for here.
         chain: Option<Chain>,
+        /// Replica that ran the line's last turn, if it was asked for.
+        upstream: Option<Name>,
     },
     /// Reply to [`Ask::Account`].
     Account(Vec<Spent>),
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -87,8 +87,10 @@
         return;
     }
     match request.ask {
-        Ask::Open { turn, reserve, keep_ms, chain } => {
-            let (answer, lines) = open(node, partition, turn, reserve, keep_ms, chain);
+        Ask::Open { turn, reserve, keep_ms, line, chain } => {
+            let upstream = last_run(node, partition, &reserve, line);
+            let opening = Opening { turn, reserve, keep_ms, chain };
+            let (answer, lines) = open(node, partition, opening, upstream);
             if keep_ms.is_none() {
                 node.enqueue(&lines);
                 send(replies, id, answer).await;
@@ -96,8 +98,12 @@
                 send_written(node, id, lines, answer, replies);
             }
         }
-        Ask::Close { turn, settle, record } => {
+        Ask::Close { turn, settle, record, run } => {
+            let program = settle.as_ref().map(|(program, _)| program.clone());
             close(node, id, partition, turn, settle, record, replies);
+            if let Some((program, run)) = program.zip(run) {
+                node.book().index(partition).note_run(&program, run);
+            }
         }
         Ask::Account(program) => {
             let spent = node.book().index(partition).account(&program);
@@ -168,15 +174,33 @@
     None
 }
 
-/// The answer to [`Ask::Open`], and the lines to write.
-fn open(
+/// The replica that ran the last turn of a line.
+fn last_run(
     node: &Node,
     partition: u16,
+    reserve: &Option<(Name, u32)>,
+    line: Option<Name>,
+) -> Option<Name> {
+    let (program, _) = reserve.as_ref()?;
+    node.book().index(partition).last_run(program, &line?)
+}
+
+/// A turn that is opened, see [`Ask::Open`].
+struct Opening {
     turn: Name,
     reserve: Option<(Name, u32)>,
     keep_ms: Option<u32>,
     chain: Option<Name>,
+}
+
+/// The answer to [`Ask::Open`], and the lines to write.
+fn open(
+    node: &Node,
+    partition: u16,
+    opening: Opening,
+    upstream: Option<Name>,
 ) -> (Answer, Vec<Placed>) {
+    let Opening { turn, reserve, keep_ms, chain } = opening;
     let now = Instant::now();
     let mut others = 0;
     let mut lines = Vec::new();
@@ -191,7 +215,7 @@
         node.apply(&lines);
     }
     let chain: Option<Chain> = chain.map(|turn| node.book().index(partition).chain(&turn, now));
-    (Answer::Opened { others, chain }, lines)
+    (Answer::Opened { others, chain, upstream }, lines)
 }
 
 fn close(
--- a/crates/gg-ledger/tests/index.rs
+++ b/crates/gg-ledger/tests/index.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use gg_ledger::{Index, Line, TurnRecord};
+use gg_ledger::{Index, LastRun, Line, TurnRecord};
 
 fn turn(name: &str, previous: Option<&str>, text: &str) -> Line {
     Line::Turn(TurnRecord {
@@ -108,3 +108,25 @@
         assert!(!index.has_account("p"));
     }
 }
+
+/// A line goes back to its replica, a new one to that of the program's last
+/// turn; the lines of a program take bounded memory.
+#[test]
+fn last_runs() {
+    let (mut index, now) = (Index::default(), Instant::now());
+    let run = |line: &str, upstream: &str| LastRun { line: line.into(), upstream: upstream.into() };
+    index.note_run("p", run("l1", "r1"));
+    assert_eq!(index.last_run("p", "l1"), None, "a program without an account");
+    index.apply(reserve("a", 9), now);
+    index.note_run("p", run("l1", "r1"));
+    index.note_run("p", run("l2", "r2"));
+    assert_eq!(index.last_run("p", "l1").as_deref(), Some("r1"));
+    assert_eq!(index.last_run("p", "new").as_deref(), Some("r2"));
+    index.note_run("p", run("l1", "r3"));
+    assert_eq!(index.last_run("p", "l1").as_deref(), Some("r3"));
+    for line in 0..20 {
+        index.note_run("p", run(&format!("m{line}"), "r4"));
+    }
+    assert_eq!(index.last_run("p", "l1").as_deref(), Some("r4"), "the oldest were forgotten");
+    assert_eq!(index.last_run("q", "l1"), None);
+}
