Idle links to ledger instances cause no wake-ups

Cause: each link looked every 125 ms for unanswered calls, 288 wake-ups a second on a gateway that links to 36 instances, and as many on an instance for its links to the others.

Change: the look is made while calls wait or the instance is slow; links that watch an instance wake for their heartbeat alone.

--- a/crates/gg-ledger/src/link.rs
+++ b/crates/gg-ledger/src/link.rs
@@ -242,7 +242,10 @@
         while queued.try_recv().is_ok() {}
         self.is_up.store(true, Ordering::Relaxed);
         log::info!("event=ledger_connected instance={}", self.member.instance);
-        let mut check = time::interval(SLOW_CHECK);
+        // Idle links need no wake-ups: hundreds of clients have one to each
+        // instance.
+        let mut check = late_interval(SLOW_CHECK);
+        let mut beat = late_interval(self.heartbeat.unwrap_or(SILENCE_MAX));
         loop {
             tokio::select! {
                 frame = reader.next() => match frame {
@@ -254,16 +257,29 @@
                     let writing = write_frames(&mut writer, call, queued);
                     time::timeout(SILENCE_MAX, writing).await??;
                 }
-                _ = check.tick() => {
-                    if self.check_silence()? || self.is_ping_due() {
-                        let ping = self.encode_ping();
-                        time::timeout(SILENCE_MAX, writer.send(ping)).await??;
+                _ = check.tick(), if self.is_waiting() => {
+                    if self.check_silence()? {
+                        self.ping(&mut writer).await?;
+                    }
+                }
+                _ = beat.tick(), if self.heartbeat.is_some() => {
+                    if self.is_ping_due() {
+                        self.ping(&mut writer).await?;
                     }
                 }
             }
         }
     }
 
+    async fn ping(&self, writer: &mut FrameWriter) -> io::Result<()> {
+        time::timeout(SILENCE_MAX, writer.send(self.encode_ping())).await?
+    }
+
+    /// Whether calls have no answer yet, or the instance is slow.
+    fn is_waiting(&self) -> bool {
+        !lock(&self.pending).is_empty() || lock(&self.slow_since).is_some()
+    }
+
     fn take(&self, frame: &bytes::BytesMut) -> io::Result<()> {
         let reply: Reply = decode(frame).map_err(io::Error::other)?;
         self.set_slow(false);
@@ -309,7 +325,7 @@
 
     /// Whether a link that is kept for its heartbeat needs one.
     fn is_ping_due(&self) -> bool {
-        self.heartbeat.is_some_and(|interval| self.silence() >= interval)
+        self.heartbeat.is_some_and(|interval| self.silence() >= interval / 2)
     }
 
     fn encode_ping(&self) -> Bytes {
@@ -318,6 +334,13 @@
     }
 }
 
+/// An interval that makes up for no missed ticks.
+fn late_interval(period: Duration) -> time::Interval {
+    let mut interval = time::interval(period);
+    interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    interval
+}
+
 /// Forgets a call whose caller went away.
 struct Forget<'a> {
     link: &'a Link,
