--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -100,7 +100,7 @@
             store.put("servers", &replica.name, replica.entry("app", "ready"));
             listed.push(replica);
         }
-        store.put("config", "main", configuration(1, &["call", "once", "turn"]));
+        store.put("config", "main", configuration(1, &["call", "once", "turn", "whole"]));
         let settings = TempDir::new().expect("folder");
         let folders: Vec<TempDir> = (0..LEDGERS).map(|_| TempDir::new().expect("folder")).collect();
         let mut programs = Vec::new();
--- a/platform/tests/stops.rs
+++ b/tests/stops.rs
@@ -1,7 +1,10 @@
-//! Planned stops of a gateway under load.
+//! Planned stops of a gateway under load, as a process of its own.
 
+#[path = "../platform/tests/support/mod.rs"]
 mod support;
 
+mod processes;
+
 use std::{
     collections::HashSet,
     io,
@@ -9,12 +12,12 @@
     sync::{Arc, Mutex},
 };
 
-use support::{Deployment, FakeReplica, deployment::eventually};
+use processes::{LEDGERS, Processes};
+use support::deployment::eventually;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
-use tokio_util::sync::CancellationToken;
 
 /// Clients that send without a pause.
 const CLIENTS: usize = 8;
@@ -66,22 +69,20 @@
 /// connections that are in use go on until the process ends.
 #[tokio::test]
 async fn nothing_is_cut() {
-    let replica = FakeReplica::start("r-1", CancellationToken::new()).await;
-    let mut deployment = Deployment::start(1, 3, &[replica.clone()]).await;
-    let address = deployment.gateways[0].0;
+    let processes = Processes::start(1, 1).await;
+    let (replica, address) = (&processes.replicas[0], processes.clients[0]);
     let answered = Arc::new(Mutex::new(HashSet::new()));
     let clients: Vec<_> =
         (0..CLIENTS).map(|client| tokio::spawn(load(address, client, answered.clone()))).collect();
     eventually("the load has begun", || async { replica.runs().len() > 100 }).await;
     let before = replica.runs().len();
-    let (_, process) = deployment.gateways.remove(0);
-    process.stop().await;
+    processes.programs[LEDGERS].signal(libc::SIGTERM);
     for client in clients {
         client.await.expect("a client ends");
     }
     let answered = answered.lock().expect("lock");
     let runs = replica.runs();
-    assert!(runs.len() > before + 100, "it served on while it stopped");
     let cut: Vec<_> = runs.iter().filter(|run| !answered.contains(&run.id)).collect();
     assert!(cut.is_empty(), "{cut:?}");
+    assert!(runs.len() > before + 100, "it served on while it stopped");
 }
