A ledger instance opens no turn that its memory can't hold

Cause: turns of the retention time are held in memory without a bound. One that went over its machine's memory ended, read the same log, and ended again.

Change: an instance counts what turns and accounts take; beyond half of its machine's memory (setting memory_mb) it answers Full to an Open, before anything is set aside. Others of the partition may have room; if too few have, the turn is refused: not run, come back. Turns under way are kept.

--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -96,6 +96,7 @@
         listen: settings.listen,
         folder: settings.folder.clone(),
         checkpoint_bytes: settings.checkpoint_bytes,
+        content_bytes: settings.content_bytes,
     };
     let registry = Registry::default();
     let metrics = Metrics::new(&registry);
@@ -107,6 +108,7 @@
                 let (turns, programs) = node.len();
                 metrics.gauge("turns", turns as u64, &[]);
                 metrics.gauge("programs", programs as u64, &[]);
+                metrics.gauge("content_bytes", node.content_bytes() as u64, &[]);
             }
         };
         tokio::spawn(serve_metrics(listen(address)?, registry, refresh, stop.child_token()));
--- a/crates/gg-ledger/src/book.rs
+++ b/crates/gg-ledger/src/book.rs
@@ -148,6 +148,11 @@
         self.crashes.expire(now);
     }
 
+    /// Memory that all partitions take, in bytes, about.
+    pub(crate) fn bytes(&self) -> usize {
+        self.parts.values().map(|part| part.index.bytes()).sum()
+    }
+
     /// Number of turns and of programs.
     pub(crate) fn len(&self) -> (usize, usize) {
         let lengths = self.parts.values().map(|part| part.index.len());
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -279,10 +279,11 @@
                     reserved.chain = reserved.chain.or(chain);
                     reserved.upstream = reserved.upstream.or(upstream);
                 }
+                // The others may have memory left.
+                Ok(Some((_, Ok(Answer::Full) | Err(_)))) => {}
                 Ok(Some((disk, Ok(other)))) => {
                     return Err(self.take_refusal(disk, other));
                 }
-                Ok(Some((_, Err(_)))) => {}
                 // Enough hold it; the chain is read from another member.
                 Ok(None) | Err(_) if is_enough => break,
                 Ok(None) | Err(_) => match others.take() {
--- a/crates/gg-ledger/src/index.rs
+++ b/crates/gg-ledger/src/index.rs
@@ -75,9 +75,16 @@
     used: Instant,
 }
 
+/// Bytes that a turn takes beside its text, and one that an account knows of:
+/// names, map entries and allocations.
+const TURN_BYTES: usize = 400;
+const SPEND_BYTES: usize = 120;
+
 /// Turns and accounts of one instance.
 #[derive(Debug, Default)]
 pub struct Index {
+    text_bytes: usize,
+    spends: usize,
     turns: HashMap<Name, Kept>,
     accounts: HashMap<Name, Account>,
     keep: Duration,
@@ -88,14 +95,18 @@
     pub fn apply(&mut self, line: Line, now: Instant) {
         match line {
             Line::Reserve { program, turn, tokens } => {
-                self.open_account(program, now).reserve(turn, tokens);
+                let added = self.open_account(program, now).reserve(turn, tokens);
+                self.spends += usize::from(added);
             }
             Line::Settle { program, turn, tokens } => {
-                self.open_account(program, now).settle(turn, tokens);
+                let added = self.open_account(program, now).settle(turn, tokens);
+                self.spends += usize::from(added);
             }
             Line::Turn(record) => {
                 self.keep = self.keep.max(Duration::from_millis(record.keep_ms.into()));
-                self.turns.insert(record.turn.clone(), Kept { record, used: now });
+                self.text_bytes += record.text.len();
+                let before = self.turns.insert(record.turn.clone(), Kept { record, used: now });
+                self.text_bytes -= before.map_or(0, |kept| kept.record.text.len());
             }
             Line::Keep(keep_ms) => {
                 self.keep = self.keep.max(Duration::from_millis(keep_ms.into()));
@@ -184,6 +195,11 @@
         self.turns.contains_key(turn)
     }
 
+    /// Memory that all of it takes, in bytes, about.
+    pub fn bytes(&self) -> usize {
+        self.text_bytes + self.turns.len() * TURN_BYTES + self.spends * SPEND_BYTES
+    }
+
     /// Number of turns and of accounts.
     pub fn len(&self) -> (usize, usize) {
         (self.turns.len(), self.accounts.len())
@@ -206,27 +222,37 @@
     /// Drops what was not used within its time, `margin` added.
     pub fn expire(&mut self, now: Instant, margin: Duration) {
         let keep = self.keep + margin;
+        let (text_bytes, spends) = (&mut self.text_bytes, &mut self.spends);
         self.turns.retain(|_, kept| {
             let keep = Duration::from_millis(kept.record.keep_ms.into()) + margin;
-            now.saturating_duration_since(kept.used) < keep
+            let stays = now.saturating_duration_since(kept.used) < keep;
+            *text_bytes -= if stays { 0 } else { kept.record.text.len() };
+            stays
+        });
+        self.accounts.retain(|_, account| {
+            let stays = now.saturating_duration_since(account.used) < keep;
+            *spends -= if stays { 0 } else { account.turns.len() };
+            stays
         });
-        self.accounts.retain(|_, account| now.saturating_duration_since(account.used) < keep);
     }
 }
 
 impl Account {
-    fn reserve(&mut self, turn: Name, tokens: u32) {
+    /// Returns whether the turn was not known.
+    fn reserve(&mut self, turn: Name, tokens: u32) -> bool {
         // A settlement that came before its reservation stands.
-        if let hash_map::Entry::Vacant(entry) = self.turns.entry(turn) {
-            entry.insert(Spend::Reserved(tokens));
-            self.total += u64::from(tokens);
-        }
+        let hash_map::Entry::Vacant(entry) = self.turns.entry(turn) else { return false };
+        entry.insert(Spend::Reserved(tokens));
+        self.total += u64::from(tokens);
+        true
     }
 
-    fn settle(&mut self, turn: Name, tokens: u32) {
+    /// Returns whether the turn was not known.
+    fn settle(&mut self, turn: Name, tokens: u32) -> bool {
         let before = self.turns.insert(turn, Spend::Settled(tokens));
         self.total += u64::from(tokens);
         self.total -= before.map_or(0, Spend::tokens);
+        before.is_none()
     }
 
     fn lines(&self, program: &Name) -> impl Iterator<Item = Line> {
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -4,7 +4,10 @@
     io,
     net::SocketAddr,
     path::PathBuf,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -66,6 +69,9 @@
     pub folder: PathBuf,
     /// Bytes of log after which it is written anew.
     pub checkpoint_bytes: u64,
+    /// Bytes that turns and accounts may take in memory; beyond it no turn is
+    /// opened.
+    pub content_bytes: usize,
 }
 
 /// A ledger instance; clones share it.
@@ -85,6 +91,8 @@
     askers: Mutex<Askers>,
     commits: mpsc::Sender<Commit>,
     metrics: Metrics,
+    content_max: usize,
+    is_full: AtomicBool,
 }
 
 /// Lines on their way to the disk.
@@ -131,6 +139,8 @@
             askers: Mutex::default(),
             commits,
             metrics,
+            content_max: settings.content_bytes,
+            is_full: AtomicBool::new(false),
         };
         let node = Node { shared: Arc::new(shared) };
         let listener = listen_socket(settings.listen, BACKLOG)
@@ -157,6 +167,22 @@
         self.len() == (0, 0)
     }
 
+    /// Bytes that turns and accounts take in memory, about.
+    pub fn content_bytes(&self) -> usize {
+        self.book().bytes()
+    }
+
+    /// Whether there is no memory for another turn. Turns under way are kept.
+    pub(crate) fn is_full(&self) -> bool {
+        let bytes = self.content_bytes();
+        let is_full = bytes > self.shared.content_max;
+        if self.shared.is_full.swap(is_full, Ordering::Relaxed) != is_full {
+            let max = self.shared.content_max;
+            log::warn!("event=ledger_full is_full={is_full} bytes={bytes} max={max}");
+        }
+        is_full
+    }
+
     pub(crate) fn book(&self) -> MutexGuard<'_, Book> {
         lock(&self.shared.book)
     }
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -174,6 +174,9 @@
     Stale(Layout),
     /// The call was meant for another disk.
     OtherDisk,
+    /// Reply to [`Ask::Open`]: there is no memory for another turn, and
+    /// nothing was set aside.
+    Full,
 }
 
 quick_error! {
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -87,6 +87,7 @@
         return;
     }
     match request.ask {
+        Ask::Open { .. } if node.is_full() => send(replies, id, Answer::Full).await,
         Ask::Open { turn, reserve, keep_ms, line, chain } => {
             let upstream = last_run(node, partition, &reserve, line);
             let opening = Opening { turn, reserve, keep_ms, chain };
--- a/crates/gg-ledger/tests/close.rs
+++ b/crates/gg-ledger/tests/close.rs
@@ -31,8 +31,12 @@
     async fn start(name: &str, stop: &CancellationToken) -> Self {
         let folder = TempDir::new().expect("folder");
         let listen = free_address();
-        let settings =
-            NodeSettings { listen, folder: folder.path().into(), checkpoint_bytes: 1 << 20 };
+        let settings = NodeSettings {
+            listen,
+            folder: folder.path().into(),
+            checkpoint_bytes: 1 << 20,
+            content_bytes: usize::MAX,
+        };
         let node = Node::start(settings, Metrics::new(&Registry::default()), stop.clone())
             .await
             .expect("a node");
--- a/crates/gg-ledger/tests/index.rs
+++ b/crates/gg-ledger/tests/index.rs
@@ -130,3 +130,18 @@
     assert_eq!(index.last_run("p", "l1").as_deref(), Some("r4"), "the oldest were forgotten");
     assert_eq!(index.last_run("q", "l1"), None);
 }
+
+/// The bytes told go up with what is taken in and down to zero with what
+/// expires, however often a line comes.
+#[test]
+fn bytes() {
+    let (mut index, start) = (Index::default(), Instant::now());
+    for _ in 0..3 {
+        index.apply(turn("a", None, &"x".repeat(10_000)), start);
+        index.apply(reserve("a", 9), start);
+        index.apply(settle("a", 4), start);
+    }
+    assert!((10_000..11_000).contains(&index.bytes()), "{}", index.bytes());
+    index.expire(start + Duration::from_secs(99), Duration::from_secs(1));
+    assert_eq!(index.bytes(), 0);
+}
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -75,10 +75,16 @@
     pub busy_patience: Duration,
     /// Bytes of log after which it is written anew.
     pub checkpoint_bytes: u64,
+    /// Bytes that turns and accounts may take in memory.
+    pub content_bytes: usize,
     /// Where metrics are read as text, if anywhere.
     pub metrics: Option<SocketAddr>,
 }
 
+/// Share of a ledger machine's memory that turns and accounts may take. The
+/// rest holds buffers of its connections and copies of partitions on their way.
+const CONTENT_PERCENT: usize = 50;
+
 /// Settings of one process, by the part that it plays.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Settings {
@@ -157,6 +163,15 @@
     gateway
 }
 
+/// Bytes that turns and accounts may take on a machine of `memory_mb`, 0 if it
+/// has no bound.
+fn content_bytes(memory_mb: usize) -> usize {
+    match memory_mb {
+        0 => usize::MAX,
+        mb => (mb << 20) / 100 * CONTENT_PERCENT,
+    }
+}
+
 fn read_ledger(section: Section<'_>, instance: Name, centre: Name) -> LedgerSettings {
     let ledger = LedgerSettings {
         instance,
@@ -169,6 +184,7 @@
         idle_patience: section.millis("idle_patience_ms", IDLE_PATIENCE, 500, 600_000),
         busy_patience: section.millis("busy_patience_ms", BUSY_PATIENCE, 500, 600_000),
         checkpoint_bytes: section.number("checkpoint_bytes", 128 << 20, 1 << 20, 1 << 40),
+        content_bytes: content_bytes(section.number("memory_mb", 0, 0, 1 << 30)),
         metrics: None,
     };
     section.finish();
