The former run of a resumed stream ends before another replica gets the turn

Cause: a connection to a replica lives as long as its answer's body, which was dropped only when the next replica had answered: a stalled replica worked on beside it, up to the turn's deadline.

Change: the body goes first.

Test: resume former_run_stops (both replicas had it before).

--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -123,7 +123,9 @@
 /// A stream on its way through.
 pub(crate) struct Relay<D: Deployment> {
     settle: Settle<D>,
-    events: Incoming,
+    /// None while another replica is asked to go on: the former one's
+    /// connection ends with its events.
+    events: Option<Incoming>,
     lease: Option<Lease<D>>,
     headers: HeaderMap,
     upstream: Name,
@@ -154,7 +156,7 @@
         Relay {
             room: settle.state.held.room(),
             settle,
-            events,
+            events: Some(events),
             upstream: sent.lease.replica().upstream.id.name.clone(),
             lease: Some(sent.lease),
             headers: head.headers,
@@ -200,7 +202,8 @@
         let stall = Instant::now() + STALL_TIME;
         let limit = if may_go_on { deadline.min(stall) } else { deadline };
         loop {
-            let Ok(frame) = time::timeout_at(limit, self.events.frame()).await else {
+            let Some(events) = &mut self.events else { return Err(RelayError::Torn) };
+            let Ok(frame) = time::timeout_at(limit, events.frame()).await else {
                 return Err(if limit < deadline { RelayError::Stalled } else { RelayError::Late });
             };
             match frame {
@@ -241,7 +244,9 @@
             job.id(),
             self.upstream
         );
-        // The connection ends with the lease, and the former run with it.
+        // The connection ends with its events and the lease, and the former
+        // run with it.
+        self.events = None;
         if let Some(lease) = self.lease.take() {
             lease.replica().suspect(FAILED_TIME);
         }
@@ -254,7 +259,7 @@
         self.settle.upstream = Some(self.upstream.clone());
         self.lease = Some(sent.lease);
         self.headers = head.headers;
-        self.events = events;
+        self.events = Some(events);
         Ok(())
     }
 
