Instances that are gone take no place among those that follow the directory

Cause: machines that are gone stay registered, and those that follow the directory are picked of all registered: after enough replacements all others would follow it themselves.

Change: an instance silent for longer than a busy member's patience (8 s) does not count.

Test: directory few_follow, its last part (timed out before).

--- a/crates/gg-ledger/src/keeper.rs
+++ b/crates/gg-ledger/src/keeper.rs
@@ -185,9 +185,18 @@
 
     /// Whether this instance is one of those that follow the directory.
     fn is_watcher(&self) -> bool {
+        self.watchers().iter().any(|found| found.member.instance == self.settings.member.instance)
+    }
+
+    /// Instances that follow the directory, as far as this one knows. Machines
+    /// that are gone stay registered, so those long silent don't count.
+    fn watchers(&self) -> Vec<Registration> {
         let known = self.known();
-        let names = watchers(known.registered.keys(), self.settings.tolerated);
-        names.contains(&&self.settings.member.instance)
+        let patience = self.settings.patience.busy;
+        let present =
+            known.registered.iter().filter(|(_, found)| self.silence(&found.member) <= patience);
+        let names = watchers(present.map(|(name, _)| name), self.settings.tolerated);
+        names.into_iter().filter_map(|name| known.registered.get(name)).cloned().collect()
     }
 
     /// Instances to ask; none if this one follows the directory itself.
@@ -195,11 +204,9 @@
         if self.is_watcher() {
             return Vec::new();
         }
-        let known = self.known();
-        let names = watchers(known.registered.keys(), self.settings.tolerated);
+        let watchers = self.watchers();
         let links = lock(&self.links);
-        let disks = names.iter().filter_map(|name| known.registered.get(*name));
-        let all = disks.filter_map(|found| links.get(found.member.disk));
+        let all = watchers.iter().filter_map(|found| links.get(found.member.disk));
         let mut usable: Vec<Arc<Link>> = all.filter(|link| link.is_usable()).cloned().collect();
         usable.shuffle(&mut rand::rng());
         usable.truncate(ASKED);
