--- a/crates/gg-emulator/src/gateway.rs
+++ b/crates/gg-emulator/src/gateway.rs
@@ -38,11 +38,23 @@
     pub admits: bool,
     /// Gateways tell each other how answers fare.
     pub shares: bool,
+    /// A turn goes back to the replica of the one before, whatever gateway it
+    /// comes to; else only the gateway that had that one knows.
+    pub returns: bool,
+    /// A later turn is told from new work.
+    pub tells_begun: bool,
 }
 
 impl Default for Policy {
     fn default() -> Self {
-        Policy { name: "gateway", placing: Placing::Cost, admits: true, shares: true }
+        Policy {
+            name: "gateway",
+            placing: Placing::Cost,
+            admits: true,
+            shares: true,
+            returns: true,
+            tells_begun: true,
+        }
     }
 }
 
@@ -50,13 +62,16 @@
     /// The policy of gateways, the baselines, and each mechanism off.
     pub fn all() -> Vec<Policy> {
         let ours = Policy::default();
-        let baseline = |name, placing| Policy { name, placing, admits: false, shares: false };
+        let baseline =
+            |name, placing| Policy { name, placing, admits: false, shares: false, ..ours };
         vec![
             ours,
             baseline("random, arrival order", Placing::Random),
             baseline("least loaded, arrival order", Placing::LeastLoaded),
             Policy { name: "no admission", admits: false, ..ours },
             Policy { name: "no sharing", shares: false, ..ours },
+            Policy { name: "lines forgotten", returns: false, ..ours },
+            Policy { name: "each turn new", tells_begun: false, ..ours },
             Policy { name: "least loaded", placing: Placing::LeastLoaded, ..ours },
         ]
     }
--- a/crates/gg-emulator/src/load.rs
+++ b/crates/gg-emulator/src/load.rs
@@ -50,6 +50,8 @@
     pub floods: Vec<Flood>,
     /// Seconds in which programs begin.
     pub seconds: f64,
+    /// Share of the turns that come to another gateway than the one before.
+    pub wander: f64,
 }
 
 impl Default for Load {
@@ -77,7 +79,7 @@
             objective_ms: 500.0,
             ..urgent.clone()
         };
-        Load { kinds: vec![urgent, other], floods: Vec::new(), seconds: 30.0 }
+        Load { kinds: vec![urgent, other], floods: Vec::new(), seconds: 30.0, wander: 0.0 }
     }
 }
 
--- a/crates/gg-emulator/src/run.rs
+++ b/crates/gg-emulator/src/run.rs
@@ -101,6 +101,8 @@
     history: f64,
     previous: Option<usize>,
     gateway: usize,
+    /// Gateway that had the turn before.
+    had_by: Option<usize>,
 }
 
 #[derive(Debug)]
@@ -165,6 +167,7 @@
                 history: 0.0,
                 previous: None,
                 gateway,
+                had_by: None,
             });
         }
         self.agenda.add(micros(SHARE_MS), Event::Share);
@@ -198,7 +201,10 @@
         let kind = self.kind(number).clone();
         let program = &self.programs[number];
         let gateway = program.gateway;
-        if program.turn == 0
+        let policy = &self.experiment.policy;
+        let is_known = policy.returns || program.had_by == Some(gateway);
+        let previous = program.previous.filter(|_| is_known);
+        if (program.turn == 0 || !policy.tells_begun)
             && let Err(refusal) = self.gateways[gateway].admit(&kind, now, &mut self.random)
         {
             self.outcomes[program.plan.kind].refusals += 1;
@@ -210,7 +216,7 @@
             kind.rank,
             index,
             program.history,
-            program.previous,
+            previous,
             &mut self.random,
         );
         let work = Work {
@@ -284,9 +290,13 @@
             self.gateways[gateway].note_pace(pace_ms, now);
         }
         let made = f64::from(turn.events * self.experiment.engine.event_tokens);
+        let wander = self.experiment.load.wander;
+        let wanders = wander > 0.0 && self.random.random_bool(wander);
+        let next = if wanders { self.random.random_range(0..self.gateways.len()) } else { gateway };
         let known = &mut self.programs[program];
         known.history += turn.input_tokens + made;
         known.previous = Some(placed.replica);
+        (known.had_by, known.gateway) = (Some(gateway), next);
         known.turn += 1;
         (known.attempts, known.restarts) = (0, 0);
         if known.turn < known.plan.turns.len() {
--- a/crates/gg-emulator/tests/floods.rs
+++ b/crates/gg-emulator/tests/floods.rs
@@ -15,6 +15,7 @@
         placing,
         admits: false,
         shares: false,
+        ..Policy::default()
     })
 }
 
@@ -105,3 +106,26 @@
         assert!(theirs.kinds[1].in_target < outcome.kinds[1].in_target);
     }
 }
+
+/// A flood of one kind while half of the turns come to other gateways: reading
+/// prompts again elsewhere costs more than waiting for the replica that has.
+#[test]
+fn wandering_lines() {
+    let mut experiment = flood(Some(0), 4.0);
+    experiment.load.wander = 0.5;
+    let ours = in_target(&play(&experiment, Policy::default()));
+    let forgotten = Policy { returns: false, ..Policy::default() };
+    let theirs = in_target(&play(&experiment, forgotten));
+    assert!(ours > theirs, "{ours} against {theirs} where lines are forgotten");
+}
+
+/// What was let in finishes: where each turn is taken for new work, programs end
+/// in the middle.
+#[test]
+fn begun_work() {
+    let experiment = flood(None, 4.0);
+    let ours = in_target(&play(&experiment, Policy::default()));
+    let each_new = Policy { tells_begun: false, ..Policy::default() };
+    let theirs = in_target(&play(&experiment, each_new));
+    assert!(ours > theirs, "{ours} against {theirs} where each turn is new");
+}
