What a whole-prompt turn spent is told before its client sees the end

Cause: it was told when the answer was dropped, after the client had the end of its stream.

Change: told at the end of the replica's stream, before the client's.

--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -91,6 +91,14 @@
         Settle { state, job, events: EventCount::default(), upstream: None, is_settled: false }
     }
 
+    /// Tells what the turn spent; once.
+    fn tell(&mut self) {
+        if !std::mem::replace(&mut self.is_settled, true) {
+            let run = self.last_run();
+            self.state.ledger.settle(&self.job.turn_key(), self.tokens(), run);
+        }
+    }
+
     /// Which replica keeps the prompt of the turn's line, where no record of
     /// the turn tells.
     fn last_run(&mut self) -> Option<LastRun> {
@@ -113,10 +121,7 @@
 
 impl<D: Deployment> Drop for Settle<D> {
     fn drop(&mut self) {
-        if !self.is_settled {
-            let run = self.last_run();
-            self.state.ledger.settle(&self.job.turn_key(), self.tokens(), run);
-        }
+        self.tell();
     }
 }
 
@@ -297,8 +302,10 @@
     async fn keep(&mut self) -> Result<(), RelayError> {
         let job = self.settle.job.clone();
         if !job.route.keeps_turns {
-            // What it spent is told when the relay is dropped; until that is
-            // heard, the most that was set aside counts.
+            // Before the client sees the end: its next turn may come to any
+            // gateway, and until this is heard the most that was set aside
+            // counts.
+            self.settle.tell();
             return Ok(());
         }
         let (previous, input) = match &self.foreign {
