--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -484,8 +484,12 @@
     Fleet { soak, processes }
 }
 
+/// Runs are played one at a time: each takes a dozen processes and more.
+static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 /// Plays a seed; with `spenders`, that many clients more send whole prompts.
 async fn run(seed: u64, spenders: usize) {
+    let _turn = TURN.lock().await;
     let mut fleet = start().await;
     let soak = fleet.soak.clone();
     let mut random = Random::new(seed);
