What a turn spent is taken in from clients that know an older set

Cause: an instance refuses calls of older epochs. That fences what is counted on quorums, but the end of a turn that is told and not waited for was refused too, by all members, and never told again: after each change of the set every gateway lost such ends until it heard of the change, and the turns counted at their most.

Change: an end without a record is taken in whatever its epoch; it is true in any, and nobody counts who holds it.

Test: close ends_of_older_epoch (budget spent: 200 before, 20 now).

--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -155,6 +155,9 @@
     let mut book = node.book();
     let is_stale = match &request.ask {
         Ask::Ping | Ask::News { .. } | Ask::Mirror(_) | Ask::Crash(_) => false,
+        // What a turn spent is true in any epoch, nobody counts who holds it,
+        // and it is told once.
+        Ask::Close { record: None, .. } => false,
         Ask::Find { epochs, .. } => book.is_ahead_of(epochs),
         _ => request.epoch < book.epoch(request.partition),
     };
--- a/crates/gg-ledger/tests/close.rs
+++ b/crates/gg-ledger/tests/close.rs
@@ -142,3 +142,38 @@
 async fn another_member_leaves() {
     close_across_change(1, 2).await;
 }
+
+/// What turns spent is taken in from a client that has not heard of the latest
+/// change of the set: its call is not repeated.
+#[tokio::test]
+async fn ends_of_older_epoch() {
+    let stop = CancellationToken::new();
+    let _stop = stop.clone().drop_guard();
+    let mut instances = Vec::new();
+    for name in ["a", "b", "c"] {
+        instances.push(Instance::start(name, &stop).await);
+    }
+    let [a, b, c] = &instances[..] else { unreachable!() };
+    let before = layout(1, &[a, b, c]);
+    instances.iter().for_each(|instance| instance.node.set_layout(before.clone()));
+    let ledger = Ledger::new("client".into(), "a".into(), stop.clone());
+    ledger.set_layout(before);
+    let give_up = Instant::now() + PATIENCE;
+    while ledger.connected() < 3 {
+        assert!(Instant::now() < give_up, "the members are not connected");
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    let open = async |turn: &str| {
+        let (key, budget) = (key(turn), Some((200, 100)));
+        let request =
+            OpenRequest { key, previous: None, budget, line: None, keep_ms: Some(60_000) };
+        ledger.open(&request, Instant::now() + PATIENCE).await
+    };
+    open("t").await.expect("100 of 200");
+    open("u").await.expect("200 of 200");
+    let after = layout(3, &[a, b, c]);
+    instances.iter().for_each(|instance| instance.node.set_layout(after.clone()));
+    ledger.settle(&key("t"), 10, None);
+    ledger.settle(&key("u"), 10, None);
+    open("v").await.expect("20 of 200 are spent");
+}
