Gateways log the rate limits that replicas announce

Callers saw: nothing. Operators could not tell whether a gateway knew a limit.

Cause: the response marks had no rate limit, and no log line named one.

No decision uses them yet.

--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -82,7 +82,7 @@
     crash::check(state, job).ok()?;
     let service = state.fleet.service(&job.service.name)?;
     let available = untried(&service, tried);
-    let place = place_on_best(state, job, &available, &OpenedTurn::default())?;
+    let place = place_on_best(state, job, &available, &OpenedTurn::default(), tried.len() + 1)?;
     if !lock(&state.hedges).spend() {
         return None;
     }
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -67,7 +67,8 @@
         if available.is_empty() {
             return Err(unplaced("all replicas were tried"));
         }
-        if let Some(place) = place_on_best(state, job, &available, opened) {
+        let attempt = tried.len() + 1;
+        if let Some(place) = place_on_best(state, job, &available, opened, attempt) {
             return Ok(place);
         }
         if time::timeout_at(limit, notified).await.is_err() {
@@ -83,12 +84,13 @@
 }
 
 /// Places a request on the best of the `available` replicas; `None` if all are
-/// full.
+/// full. `attempt` is the number of the send, starting at 1.
 pub(crate) fn place_on_best<D>(
     state: &State<D>,
     job: &Job,
     available: &[&Arc<Replica>],
     opened: &OpenedTurn,
+    attempt: usize,
 ) -> Option<Placement> {
     let is_model = job.service.event_tokens > 0;
     let load_max = (job.service.connections / state.gateways()).max(LOAD_LIMIT_MIN);
@@ -119,9 +121,10 @@
     let draw = || rand::rng().random_range(0.0..TIE_BREAK_MS);
     let index = choose(&candidates, opened.history.len(), &settings, draw)?;
     let (replica, chosen) = (available[index], &candidates[index]);
+    let limit = replica.rate_limit().map_or("-".to_owned(), |rate| rate.to_string());
     log::info!(
         "event=placed request={} replica={} candidates={} history={} load={} far={} parts={} \
-         unread={} stray={} previous={} suspect={} delay_ms={:.0}",
+         unread={} stray={} previous={} suspect={} delay_ms={:.0} attempt={attempt} limit={limit}",
         job.id(),
         replica.upstream.id.name,
         available.len(),
--- a/crates/gg-gateway/src/replica.rs
+++ b/crates/gg-gateway/src/replica.rs
@@ -12,7 +12,7 @@
 use gg_route::{PromptPart, Service, Upstream, UpstreamState};
 use tokio::sync::Notify;
 
-use crate::{PrefixCache, pool::Pool, state::lock};
+use crate::{LimitChange, PrefixCache, RateLimit, pool::Pool, state::lock};
 
 /// Weight of the newest observation in a replica's mean delay.
 const DELAY_WEIGHT: f64 = 0.2;
@@ -66,6 +66,7 @@
     prefix_cache: PrefixCache,
     delay: Option<(f64, Instant)>,
     last_response: Option<Instant>,
+    rate_limit: RateLimit,
 }
 
 impl Replica {
@@ -115,6 +116,19 @@
         lock(&self.observed).last_response = Some(Instant::now());
     }
 
+    /// Requests per second that the replica takes from all gateways together,
+    /// while it announces a limit.
+    pub(crate) fn rate_limit(&self) -> Option<f64> {
+        lock(&self.observed).rate_limit.rate()
+    }
+
+    /// Records the limit that a response to a request sent at `sent_at`
+    /// announces.
+    pub(crate) fn record_limit(&self, rate: Option<f64>, sent_at: Instant) -> Option<LimitChange> {
+        let now = Instant::now();
+        lock(&self.observed).rate_limit.record_response(rate, sent_at, now)
+    }
+
     /// Returns whether the replica has responded since `since` or accepts a
     /// connection now, and when that was checked, in ms since its listing.
     /// Concurrent callers share one probe.
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -11,7 +11,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    Reservation,
+    LimitChange, Reservation,
     admit::record_full,
     crash::CrashGuard,
     pool::Connection,
@@ -127,6 +127,7 @@
     let replica = place.replica.clone();
     let request = build_request(state, job, outgoing, &replica);
     let mut crash_guard = CrashGuard::new(state, job, &replica);
+    let sent_at = Instant::now();
     let answered = {
         let exchange = exchange(job, &replica, request, &mut crash_guard);
         time::timeout_at(job.deadline, exchange).await
@@ -151,6 +152,9 @@
         log::info!("event=replica_leaving replica={} told_by=answer", replica.upstream.id.name);
         replica.set_draining();
     }
+    if !marks.is_mismatched {
+        record_limit(state, job, &replica, &marks, sent_at);
+    }
     let lease = Lease { connection, crash_guard, place };
     if marks.is_mismatched {
         log::warn!(
@@ -177,6 +181,30 @@
     Ok(sent)
 }
 
+/// Records the rate limit that a response announces. Only a response whose
+/// origin is certain can end one.
+fn record_limit<D: Deployment>(
+    state: &State<D>,
+    job: &Job,
+    replica: &Replica,
+    marks: &ResponseMarks,
+    sent_at: Instant,
+) {
+    if marks.rate_limit.is_none() && !marks.is_signed {
+        return;
+    }
+    let Some(change) = replica.record_limit(marks.rate_limit, sent_at.into_std()) else { return };
+    let (name, request) = (&replica.upstream.id.name, job.id());
+    let (event, rate, was) = match change {
+        LimitChange::Learned(rate) => ("limit_learned", rate, None),
+        LimitChange::Changed { from, to } => ("limit_changed", to, Some(from)),
+        LimitChange::Ended(rate) => ("limit_ended", 0.0, Some(rate)),
+    };
+    let was = was.map_or("-".to_owned(), |was| was.to_string());
+    log::info!("event={event} replica={name} rate={rate} was={was} request={request}");
+    state.metrics.count("limit_changes", &[("event", event)]);
+}
+
 /// Handles a response that says that the replica did not execute the request.
 async fn handle_refusal<D: Deployment>(
     state: &Arc<State<D>>,
--- /dev/null
+++ b/crates/gg-gateway/tests/rate_limit.rs
@@ -0,0 +1,34 @@
+//! Rate limits that replicas announce.
+
+use std::time::{Duration, Instant};
+
+use gg_gateway::{LimitChange, RateLimit};
+
+fn at(start: Instant, ms: u64) -> Instant {
+    start + Duration::from_millis(ms)
+}
+
+#[test]
+fn limit_holds_while_announced() {
+    let start = Instant::now();
+    let mut limit = RateLimit::default();
+    assert_eq!(limit.record_response(None, at(start, 0), at(start, 5)), None);
+    let learned = limit.record_response(Some(3.5), at(start, 10), at(start, 20));
+    assert_eq!(learned, Some(LimitChange::Learned(3.5)));
+    assert_eq!(limit.record_response(Some(3.5), at(start, 30), at(start, 40)), None);
+    let changed = limit.record_response(Some(7.0), at(start, 50), at(start, 60));
+    assert_eq!(changed, Some(LimitChange::Changed { from: 3.5, to: 7.0 }));
+    let ended = limit.record_response(None, at(start, 70), at(start, 80));
+    assert_eq!(ended, Some(LimitChange::Ended(7.0)));
+    assert_eq!(limit.rate(), None);
+}
+
+#[test]
+fn overtaken_response_ends_no_limit() {
+    let start = Instant::now();
+    let mut limit = RateLimit::default();
+    limit.record_response(Some(3.5), at(start, 10), at(start, 20));
+    // Its request was sent before the limit was announced.
+    assert_eq!(limit.record_response(None, at(start, 15), at(start, 30)), None);
+    assert_eq!(limit.rate(), Some(3.5));
+}
--- a/crates/gg-route/src/envelope.rs
+++ b/crates/gg-route/src/envelope.rs
@@ -66,8 +66,8 @@
     }
 }
 
-/// Origin marks in the head of a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What the head of a response says about its origin and about the replica.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseMarks {
     /// The response names the request that it belongs to.
     pub matches_request: bool,
@@ -79,4 +79,7 @@
     pub is_not_executed: bool,
     /// The replica is draining and accepts no further requests.
     pub is_draining: bool,
+    /// Requests per second that the replica takes from all gateways together,
+    /// while it announces a limit.
+    pub rate_limit: Option<f64>,
 }
