Requests that wait for a permit count as in flight

Cause: a request counted as in flight only once it had its permit, so admission saw the replicas just full, never overloaded.

Change: ServiceLoad::enter counts a request from when its placement begins.

--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -16,7 +16,7 @@
     fleet::Service,
     permit::Permit,
     proxy::{Job, hash},
-    replica::{Placement, Replica},
+    replica::{InFlight, Placement, Replica},
     retry::{Attempts, RetryDecision},
     state::State,
 };
@@ -66,6 +66,8 @@
             return Err(unplaced(refusal("no replica of the service is known")));
         };
         let load = service.load.clone();
+        // Requests that wait count as well: admission has to see them.
+        let in_flight = load.enter(job.route.rank);
         let notified = load.freed.notified();
         let available = untried(&service, tried);
         if available.is_empty() {
@@ -83,7 +85,7 @@
         if let Some(selected) = select(state, job, &in_time, opened) {
             let wait_max = selected.wait_max.min(permit_max);
             if let Some(permit) = Permit::acquire(state, job, &selected.replica, wait_max).await {
-                return Ok(selected.occupy(permit, job, started_at, tried.len() + 1));
+                return Ok(selected.occupy(permit, in_flight, job, started_at, tried.len() + 1));
             }
             // The wait for a permit is known better now.
             continue;
@@ -138,6 +140,7 @@
     pub(crate) fn occupy(
         self,
         permit: Permit,
+        in_flight: InFlight,
         job: &Job,
         started_at: Instant,
         attempt: usize,
@@ -162,7 +165,7 @@
             candidate.delay_ms,
             started_at.elapsed().as_millis()
         );
-        Placement::new(permit, job.route.rank, self.prefill)
+        Placement::new(permit, in_flight, self.prefill)
     }
 }
 
--- a/crates/gg-gateway/src/replica.rs
+++ b/crates/gg-gateway/src/replica.rs
@@ -29,7 +29,8 @@
 /// have been sent before the loss, as a slow instance reads it late.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(25);
 
-/// Requests of this gateway in flight on all replicas of one service.
+/// Requests of this gateway in flight on all replicas of one service, or waiting
+/// for one of them.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceLoad {
     /// Notified when a request on a replica of the service ends, or a replica
@@ -46,6 +47,13 @@
         self.in_flight.each_ref().map(|count| count.load(Ordering::Relaxed))
     }
 
+    /// Counts a request of `rank` as in flight until the result is dropped.
+    pub(crate) fn enter(self: &Arc<Self>, rank: u8) -> InFlight {
+        let in_flight = InFlight { load: self.clone(), rank };
+        in_flight.count().fetch_add(1, Ordering::Relaxed);
+        in_flight
+    }
+
     /// Requests that a replica runs at a time at most: its slots, or fewer if it
     /// announces a rate limit (Little's law).
     pub(crate) fn capacity(&self, replica: &Replica) -> f64 {
@@ -63,6 +71,26 @@
     }
 }
 
+/// A request that counts as in flight.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    load: Arc<ServiceLoad>,
+    rank: u8,
+}
+
+impl InFlight {
+    /// Counter of the requests of the same rank.
+    fn count(&self) -> &AtomicU32 {
+        &self.load.in_flight[usize::from(self.rank).min(RANKS - 1)]
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.count().fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A replica of one service.
 #[derive(Debug)]
 pub(crate) struct Replica {
@@ -243,32 +271,24 @@
 #[derive(Debug)]
 pub(crate) struct Placement {
     pub(crate) replica: Arc<Replica>,
-    rank: u8,
+    _in_flight: InFlight,
     started_at: Instant,
     /// Expected time to process the uncached prompt tokens.
     pub(crate) prefill: Duration,
 }
 
 impl Placement {
-    /// Adds a request of `rank` to the load of the permit's replica.
-    pub(crate) fn new(permit: Permit, rank: u8, prefill: Duration) -> Self {
-        let place =
-            Placement { replica: permit.into_replica(), rank, started_at: Instant::now(), prefill };
-        place.replica.load.fetch_add(1, Ordering::Relaxed);
-        place.rank_count().fetch_add(1, Ordering::Relaxed);
-        place
-    }
-
-    /// Counter of the requests of the same rank.
-    fn rank_count(&self) -> &AtomicU32 {
-        &self.replica.service_load.in_flight[usize::from(self.rank).min(RANKS - 1)]
+    /// Adds a request to the load of the permit's replica.
+    pub(crate) fn new(permit: Permit, in_flight: InFlight, prefill: Duration) -> Self {
+        let replica = permit.into_replica();
+        replica.load.fetch_add(1, Ordering::Relaxed);
+        Placement { replica, _in_flight: in_flight, started_at: Instant::now(), prefill }
     }
 }
 
 impl Drop for Placement {
     fn drop(&mut self) {
         self.replica.load.fetch_sub(1, Ordering::Relaxed);
-        self.rank_count().fetch_sub(1, Ordering::Relaxed);
         self.replica.service_load.record_occupied(self.started_at.elapsed());
         self.replica.service_load.freed.notify_one();
     }
