Daemons give back the tokens that a call reserved and did not use

Callers saw: 402 long before a program's budget was spent: 3,480 of 6,000 tokens left, where a turn took 230; four concurrent sub-agents were stopped at 2,283. And the other way round, a call whose caller left was not charged at all.

Cause: the Drop of Reservation that took a call out of those in flight was lost when step.rs was split, and nothing else called Budget::end, so pending tokens only grew. Class: an obligation kept by habit, which no type enforces. Calls that ended for good after the engine had begun (caller gone, deadline, quarantine) were returned without a charge, which the leak had covered.

Change: a Reservation is settled by a charge or a release that consumes it; dropped without either it is charged in full, so what is forgotten errs on the side of the budget and can't leak. Each attempt has its own. Budget::settle replaces end and charge for calls.

--- a/crates/gg-daemon/src/step/budget.rs
+++ b/crates/gg-daemon/src/step/budget.rs
@@ -28,7 +28,7 @@
             program.budget.begin(bound);
             coverage
         };
-        let reservation = Reservation { root: root.clone(), bound };
+        let reservation = Reservation { root: root.clone(), bound, used: None };
         if let Coverage::Reserve { total } = coverage {
             let (submitted, records) = {
                 let mut program = lock(&root.program);
@@ -41,22 +41,41 @@
                 (submitted, records)
             };
             let durable = self.home.durable(submitted, &records).await;
-            durable.map_err(mark_not_executed)?;
+            if let Err(failure) = durable {
+                reservation.release();
+                return Err(mark_not_executed(failure));
+            }
         }
         drop(guard);
         Ok(reservation)
     }
 }
 
-/// Tokens reserved for one call.
+/// Tokens reserved for one call. The budget gets back what the call didn't use
+/// once the reservation is dropped. Unless it was released or charged, all of it
+/// counts as used: the call may have been sent.
+#[must_use = "a reservation that is dropped is charged in full"]
 pub(super) struct Reservation {
     root: Arc<HostedProgram>,
     bound: u64,
+    used: Option<u64>,
 }
 
 impl Reservation {
     /// Charges the tokens that the call used, up to the reservation.
-    pub(super) fn charge(&self, tokens: u64) {
-        lock(&self.root.program).budget.charge(tokens.min(self.bound));
+    pub(super) fn charge(mut self, tokens: u64) {
+        self.used = Some(tokens.min(self.bound));
+    }
+
+    /// Returns all tokens, as no engine has run the call.
+    pub(super) fn release(mut self) {
+        self.used = Some(0);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let used = self.used.unwrap_or(self.bound);
+        lock(&self.root.program).budget.settle(self.bound, used);
     }
 }
--- a/crates/gg-program/src/budget.rs
+++ b/crates/gg-program/src/budget.rs
@@ -57,12 +57,14 @@
         self.pending += bound;
     }
 
-    /// Removes a call that was counted with `bound` from those in flight.
-    pub fn end(&mut self, bound: u64) {
+    /// Ends a call that was counted with `bound`, and charges the tokens that it
+    /// used.
+    pub fn settle(&mut self, bound: u64, used: u64) {
         self.pending = self.pending.saturating_sub(bound);
+        self.charge(used);
     }
 
-    /// Charges the tokens of a finished call.
+    /// Charges tokens without a call in flight, as read from a journal.
     pub fn charge(&mut self, tokens: u64) {
         self.spent += tokens;
     }
--- a/crates/gg-program/tests/budget.rs
+++ b/crates/gg-program/tests/budget.rs
@@ -44,8 +44,7 @@
                     }
                 },
                 Step::Finish(used) => if let Some(bound) = in_flight.pop() {
-                    budget.end(bound);
-                    budget.charge(used.min(bound));
+                    budget.settle(bound, used.min(bound));
                 },
                 Step::Crash => {
                     budget.charge_reserved();
