Gateways learn of rate limits from their polls

Callers saw: nothing; a replica in need got at least one more request from each gateway that had not sent to it before: 370 at the planned size, where it takes 5 a second.

Cause: each gateway learned of a limit only from an answer to itself.

Change: an issuer's reply to a poll names up to eight limits in force, with their ages; gateways apply those that are newer than what they know.

--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -24,7 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admit,
+    admit, permit,
     state::{State, lock},
 };
 
@@ -105,6 +105,7 @@
         let responses = state.ledger.poll(&known, &overload).await;
         for response in responses {
             admit::record_shared(state, response.overload);
+            permit::record_limits(state, response.limits);
             for update in response.updates {
                 if let Some(followed) = kinds.iter().find(|followed| followed.kind == update.kind) {
                     followed.apply_mirrored(update);
--- a/crates/gg-gateway/src/fleet.rs
+++ b/crates/gg-gateway/src/fleet.rs
@@ -83,6 +83,11 @@
         lock(&self.state).services.get(name).cloned()
     }
 
+    /// The replica with this name.
+    pub(crate) fn replica(&self, name: &str) -> Option<Arc<Replica>> {
+        lock(&self.state).replicas.get(name).cloned()
+    }
+
     /// Whether another incarnation has taken a replica's name or address.
     pub(crate) fn is_replaced(&self, replica: &Replica) -> bool {
         let is_other = |known: &Arc<Replica>| {
--- a/crates/gg-gateway/src/permit.rs
+++ b/crates/gg-gateway/src/permit.rs
@@ -5,10 +5,11 @@
     time::{Duration, Instant},
 };
 
-use gg_ledger::{PermitReply, PermitRequest};
+use gg_ledger::{LimitReport, PermitReply, PermitRequest};
+use gg_protocol::Name;
 use tokio::time;
 
-use crate::{proxy::Job, replica::Replica, state::State};
+use crate::{LimitChange, proxy::Job, replica::Replica, state::State};
 
 /// A permit that is used later than this after its time, because the process
 /// was stopped or starved meanwhile, is void: others may have been granted
@@ -117,9 +118,40 @@
 
 fn record_end<D>(state: &State<D>, replica: &Replica) {
     let now = Instant::now();
-    if let Some(rate) = replica.with_limit(|limit| limit.record_end(now)) {
-        let name = &replica.upstream.id.name;
-        log::info!("event=limit_ended replica={name} rate=0 was={rate} told_by=issuer");
-        state.metrics.count("limit_changes", &[("event", "limit_ended")]);
+    if let Some(change) = replica.with_limit(|limit| limit.record_end(now)) {
+        log_limit_change(state, replica, change, "issuer");
     }
 }
+
+/// Records limits of replicas' incarnations that other gateways observed.
+pub(crate) fn record_limits<D>(state: &State<D>, limits: Vec<(Name, LimitReport)>) {
+    let now = Instant::now();
+    for (incarnation, report) in limits {
+        let name = incarnation.rsplit_once('/').map_or(&*incarnation, |(name, _)| name);
+        let replica = state.fleet.replica(name);
+        let Some(replica) = replica.filter(|replica| replica.incarnation() == incarnation) else {
+            continue;
+        };
+        if let Some(change) = replica.with_limit(|limit| limit.record_report(report, now)) {
+            log_limit_change(state, &replica, change, "poll");
+        }
+    }
+}
+
+/// Logs how a replica's limit changed and how the gateway learned of it.
+pub(crate) fn log_limit_change<D>(
+    state: &State<D>,
+    replica: &Replica,
+    change: LimitChange,
+    told_by: &str,
+) {
+    let (event, rate, was) = match change {
+        LimitChange::Learned(rate) => ("limit_learned", rate, None),
+        LimitChange::Changed { from, to } => ("limit_changed", to, Some(from)),
+        LimitChange::Ended(rate) => ("limit_ended", 0.0, Some(rate)),
+    };
+    let name = &replica.upstream.id.name;
+    let was = was.map_or("-".to_owned(), |was| was.to_string());
+    log::info!("event={event} replica={name} rate={rate} was={was} told_by={told_by}");
+    state.metrics.count("limit_changes", &[("event", event)]);
+}
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -87,6 +87,9 @@
             if let Some(permit) = Permit::acquire(state, job, &selected.replica, wait_max).await {
                 return Ok(selected.occupy(permit, in_flight, job, started_at, tried.len() + 1));
             }
+            if Instant::now() >= permit_limit {
+                return Err(unplaced(no_permit(job, &available)));
+            }
             // The wait for a permit is known better now.
             continue;
         }
--- a/crates/gg-gateway/src/rate_limit.rs
+++ b/crates/gg-gateway/src/rate_limit.rs
@@ -55,11 +55,19 @@
         self.next_permit = Some(at);
     }
 
-    /// Records that another gateway has observed the end of the limit. Returns
-    /// the former limit.
-    pub fn record_end(&mut self, now: Instant) -> Option<f64> {
-        self.observed_at = Some(now);
-        self.rate.take()
+    /// Records what another gateway observed, unless a more recent observation
+    /// is known.
+    pub fn record_report(&mut self, report: LimitReport, now: Instant) -> Option<LimitChange> {
+        let observed_at = now.checked_sub(Duration::from_millis(report.age_ms))?;
+        if self.observed_at.is_some_and(|at| observed_at <= at) {
+            return None;
+        }
+        self.set(report.rate, observed_at)
+    }
+
+    /// Records that another gateway has observed the end of the limit.
+    pub fn record_end(&mut self, now: Instant) -> Option<LimitChange> {
+        self.set(None, now)
     }
 
     /// Records a response to a request that was sent at `sent_at`. A response
@@ -75,7 +83,11 @@
         if rate.is_none() && is_overtaken {
             return None;
         }
-        self.observed_at = Some(now);
+        self.set(rate, now)
+    }
+
+    fn set(&mut self, rate: Option<f64>, observed_at: Instant) -> Option<LimitChange> {
+        self.observed_at = Some(observed_at);
         match (std::mem::replace(&mut self.rate, rate), rate) {
             (None, Some(to)) => Some(LimitChange::Learned(to)),
             (Some(from), Some(to)) if from != to => Some(LimitChange::Changed { from, to }),
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -14,6 +14,7 @@
     LimitChange, Reservation,
     admit::record_full,
     crash::CrashGuard,
+    permit::log_limit_change,
     pool::Connection,
     proxy::Job,
     replica::{Placement, Replica},
@@ -194,22 +195,12 @@
         return;
     }
     let Some(change) = replica.record_limit(marks.rate_limit, sent_at.into_std()) else { return };
-    let (name, request) = (&replica.upstream.id.name, job.id());
     if matches!(change, LimitChange::Ended(_)) {
         // Gateways that still ask for permits learn it from the issuers.
         let report = replica.with_limit(|limit| limit.report(std::time::Instant::now()));
         state.ledger.report_limit(&replica.incarnation(), report);
     }
-    let (event, rate, was) = match change {
-        LimitChange::Learned(rate) => ("limit_learned", rate, None),
-        LimitChange::Changed { from, to } => ("limit_changed", to, Some(from)),
-        LimitChange::Ended(rate) => ("limit_ended", 0.0, Some(rate)),
-    };
-    let was = was.map_or("-".to_owned(), |was| was.to_string());
-    log::info!(
-        "event={event} replica={name} rate={rate} was={was} told_by=answer request={request}"
-    );
-    state.metrics.count("limit_changes", &[("event", event)]);
+    log_limit_change(state, replica, change, &format!("answer request={}", job.id()));
 }
 
 /// Handles a response that says that the replica did not execute the request.
--- a/crates/gg-gateway/tests/rate_limit.rs
+++ b/crates/gg-gateway/tests/rate_limit.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use gg_gateway::{LimitChange, RateLimit};
+use gg_ledger::LimitReport;
 
 fn at(start: Instant, ms: u64) -> Instant {
     start + Duration::from_millis(ms)
@@ -44,7 +45,20 @@
     assert_eq!(limit.permit_wait(at(start, 400)), Duration::ZERO);
     let report = limit.report(at(start, 120));
     assert_eq!((report.rate, report.age_ms), (Some(3.5), 100));
-    assert_eq!(limit.record_end(at(start, 130)), Some(3.5));
+    assert_eq!(limit.record_end(at(start, 130)), Some(LimitChange::Ended(3.5)));
     assert_eq!(limit.record_end(at(start, 140)), None);
     assert_eq!(limit.permit_wait(at(start, 150)), Duration::ZERO);
 }
+
+#[test]
+fn newer_report_counts() {
+    let start = Instant::now();
+    let mut limit = RateLimit::default();
+    limit.record_response(None, at(start, 1_000), at(start, 1_010));
+    let report = |rate, age_ms| LimitReport { rate, age_ms };
+    assert_eq!(limit.record_report(report(Some(4.0), 100), at(start, 1_100)), None);
+    let learned = limit.record_report(report(Some(4.0), 50), at(start, 1_100));
+    assert_eq!(learned, Some(LimitChange::Learned(4.0)));
+    assert_eq!(limit.record_report(report(None, 60), at(start, 1_100)), None, "it is older");
+    assert_eq!(limit.rate(), Some(4.0));
+}
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -227,6 +227,11 @@
         reply
     }
 
+    /// Some of the rate limits in force.
+    pub(crate) fn sample_limits(&self) -> Vec<(Name, LimitReport)> {
+        lock(&self.shared.permit_issuer).sample(&mut rand::rng(), Instant::now())
+    }
+
     /// Records the limit that a replica announces.
     pub(crate) fn observe_limit(&self, replica: &Name, limit: LimitReport) {
         let is_changed = lock(&self.shared.permit_issuer).observe(replica, limit, Instant::now());
--- a/crates/gg-ledger/src/permit_issuer.rs
+++ b/crates/gg-ledger/src/permit_issuer.rs
@@ -8,6 +8,7 @@
 };
 
 use gg_protocol::Name;
+use rand::{Rng, seq::IteratorRandom};
 use serde::{Deserialize, Serialize};
 
 /// Lowest rate, in requests per second, at which permits are issued. A replica
@@ -17,6 +18,9 @@
 /// Permits of this much time may be issued at once after a pause.
 const BURST: Duration = Duration::from_millis(500);
 
+/// Number of limits sent with the reply to a poll; about 40 bytes each.
+const SAMPLE_MAX: usize = 8;
+
 /// A replica for which no permit was requested for this long is forgotten.
 const IDLE_TTL: Duration = Duration::from_secs(60);
 
@@ -100,6 +104,18 @@
         std::mem::replace(&mut schedule.rate, limit.rate) != limit.rate
     }
 
+    /// Limits that are in force at some of the replicas, picked at random.
+    /// Clients learn of limits from these before a response tells them.
+    pub fn sample(&self, rng: &mut impl Rng, now: Instant) -> Vec<(Name, LimitReport)> {
+        let limited = self.schedules.iter().filter(|(_, schedule)| schedule.rate.is_some());
+        let sampled = limited.choose_multiple(rng, SAMPLE_MAX).into_iter();
+        let report = |schedule: &Schedule| {
+            let age = now.saturating_duration_since(schedule.observed_at);
+            LimitReport { rate: schedule.rate, age_ms: age.as_millis() as u64 }
+        };
+        sampled.map(|(replica, schedule)| (replica.clone(), report(schedule))).collect()
+    }
+
     /// Decides on a request whose observation was recorded. `share` is the part
     /// of the replica's limit that this instance may grant.
     pub fn request(&mut self, request: &PermitRequest, share: f64, now: Instant) -> PermitReply {
--- a/crates/gg-ledger/src/poll.rs
+++ b/crates/gg-ledger/src/poll.rs
@@ -8,11 +8,12 @@
 
 use futures::future::join_all;
 use gg_platform::{Kind, MirrorUpdate};
+use gg_protocol::Name;
 use rand::seq::SliceRandom;
 use tokio::time;
 
 use crate::{
-    AgedFact, CrashFact, CrashFacts, Ledger, OverloadReport, RequestFingerprint,
+    AgedFact, CrashFact, CrashFacts, Ledger, LimitReport, OverloadReport, RequestFingerprint,
     crashes::log_fact,
     link::{CrashCursor, Link, Scope},
     node::lock,
@@ -31,6 +32,8 @@
     pub clients: u32,
     /// Overload statistics summed over these clients.
     pub overload: OverloadReport,
+    /// Rate limits of some replicas' incarnations.
+    pub limits: Vec<(Name, LimitReport)>,
 }
 
 impl Ledger {
@@ -52,9 +55,9 @@
                 crashes,
             };
             match time::timeout(POLL_TIMEOUT, link.call(Scope::NO_PARTITION, op)).await {
-                Ok(Ok(ReplyBody::Poll { updates, polling_clients, overload, crashes })) => {
+                Ok(Ok(ReplyBody::Poll { updates, polling_clients, overload, crashes, limits })) => {
                     self.apply_crash_updates(&link, sent, &crashes);
-                    Some(PollReply { updates, clients: polling_clients, overload })
+                    Some(PollReply { updates, clients: polling_clients, overload, limits })
                 }
                 _ => None,
             }
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -166,6 +166,8 @@
         overload: OverloadReport,
         /// Crash facts that the client may not know.
         crashes: CrashUpdates,
+        /// Rate limits of some replicas' incarnations.
+        limits: Vec<(Name, LimitReport)>,
     },
     /// Reply to [`Op::Mirror`].
     Mirror(Vec<MirrorUpdate>),
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -129,10 +129,11 @@
             let updates = node.mirror().updates(&known);
             let (polling_clients, overload) = node.record_poll(from.clone(), overload);
             let crashes = node.exchange_crashes(&from, crashes);
+            let limits = node.sample_limits();
             send_reply(
                 replies,
                 id,
-                ReplyBody::Poll { updates, polling_clients, overload, crashes },
+                ReplyBody::Poll { updates, polling_clients, overload, crashes, limits },
             )
             .await;
         }
