crashes_outlive_outage waits until the daemons know each other

Callers saw: in an outage that begins right after a daemon was listed, 503 home_unavailable from daemons that had not listed it yet.

Cause: the test began the outage 20 ms after the start. The entry of the second turn had read the list of instances before the program's home was on it, and in an outage it can't read it again. That is allowed: without a list it can't know where the home is.

Change: a turn through each daemon before the outage, which only passes once each knows the home; the checks are the same.

Open: the entry holds such a turn to its deadline and says that it may have run, though it sent nothing.

--- a/tests/upstreams.rs
+++ b/tests/upstreams.rs
@@ -58,11 +58,18 @@
     let program = caller.start("urgent", None).await.expect("start program");
     // Also reserves tokens for the next turn, since a reservation needs the
     // platform.
-    let outcome = caller.turn(&program, 0, "warm up", 4).await;
-    assert!(matches!(outcome, CallResult::Done(_)), "{outcome:?}");
+    //
+    // A turn through each daemon: one that has not listed the program's home yet
+    // can't reach it in an outage.
+    for daemon in 0..fleet.daemons.len() {
+        let caller = fleet.daemon_caller("ukhozi", daemon);
+        let outcome = caller.turn(&program, daemon as u32, "warm up", 4).await;
+        assert!(matches!(outcome, CallResult::Done(_)), "{outcome:?}");
+    }
     fleet.platform.set_faults(Faults { outage: true, ..Faults::default() });
-    caller.turn(&program, 1, &format!("a label with {CRASH_MARKER}"), 8).await;
-    assert!(crashes(&fleet) > 0, "the request has not run on an engine");
+    let turn = fleet.daemons.len() as u32;
+    let outcome = caller.turn(&program, turn, &format!("a label with {CRASH_MARKER}"), 8).await;
+    assert!(crashes(&fleet) > 0, "the request has not run on an engine: {outcome:?}");
     fleet.platform.set_faults(Faults::default());
     let deadline = time::Instant::now() + Duration::from_secs(30);
     while fleet.platform.keys("crash/").is_empty() {
