Settings: an operator API that other machines reach needs keys

Callers saw: with the operators' listener on an address of the network and no keys set, anyone could change the configuration, end programs and drain daemons.

Cause: an empty list of keys meant that no key is needed, on any address.

Evidence: open_operator_api_stays_local failed before (0.0.0.0:7102 accepted).

On loopback nothing changes.

--- a/crates/gg-settings/src/daemon.rs
+++ b/crates/gg-settings/src/daemon.rs
@@ -223,13 +223,15 @@
     let peer_key = security.required("peer_key", "a secret shared by all daemons");
     let operator_keys = security.list("operator_keys");
     check_digests(&security, "operator_keys", &operator_keys);
+    let listen = read_listen(section("listen"));
+    check_operators(&security, &listen.operators, &operator_keys);
     security.finish();
     DaemonSettings {
         instance: name,
         centre,
         data,
         workers,
-        listen: read_listen(section("listen")),
+        listen,
         platform: platform_address,
         platform_timeout,
         commit_interval,
@@ -259,6 +261,18 @@
     }
 }
 
+/// Records a fault if other machines can reach the operator API and need no key.
+fn check_operators(section: &Section<'_>, operators: &str, digests: &[String]) {
+    let address = operators.parse::<std::net::SocketAddr>();
+    let is_local = address.map_or(true, |address| address.ip().is_loopback());
+    if digests.is_empty() && !is_local {
+        let allowed = format!(
+            "at least one digest, as other machines can reach [listen] operators = {operators}"
+        );
+        section.fault("operator_keys", "", &allowed);
+    }
+}
+
 fn read_listen(section: Section<'_>) -> ListenSettings {
     let default = ListenSettings::default();
     let listen = ListenSettings {
--- a/crates/gg-settings/tests/files.rs
+++ b/crates/gg-settings/tests/files.rs
@@ -29,6 +29,30 @@
     assert!(faults.iter().all(|fault| fault.file == "bad.ini" && !fault.allowed.is_empty()));
 }
 
+/// Operators change the configuration, so without keys only this machine may
+/// reach them.
+#[test]
+fn open_operator_api_stays_local() {
+    let parse = |operators: &str, keys: &str| {
+        let text = format!(
+            "[instance]\nname = a\ndata_centre = north\n[listen]\noperators = {operators}\n\
+             [security]\npeer_key = x\noperator_keys = {keys}\n"
+        );
+        DaemonSettings::parse("a.ini", &text)
+    };
+    let digest = "0".repeat(64);
+    for local in ["127.0.0.1:7102", "[::1]:7102"] {
+        assert!(parse(local, "").is_ok(), "{local}");
+    }
+    for open in ["0.0.0.0:7102", "10.1.0.4:7102", "[::]:7102"] {
+        assert!(parse(open, &digest).is_ok(), "{open}");
+        let faults = parse(open, "").expect_err("faults").0;
+        let [fault] = &faults[..] else { panic!("{faults:?}") };
+        assert_eq!((&*fault.section, &*fault.key), ("security", "operator_keys"));
+        assert!(fault.allowed.contains(open), "{fault:?}");
+    }
+}
+
 #[test]
 fn configuration_reports_faults() {
     let text = "[profile x]\nrank = 9\n[upstream y]\naddress = nowhere\n[ghost z]\n";
