profile rollback to a removal is refused

Callers saw: an operator who rolled back to a serial that was a removal got a profile with default values in force, or an upstream without an address refused.

Cause: a removal prints as a section without keys, which parses as the defaults.

Evidence: rollback_to_removal_refused failed before (exit status 0, a default profile applied).

Change: an error that names the serial and the command that removes a document.

--- a/crates/gg-operator/src/commands/profile.rs
+++ b/crates/gg-operator/src/commands/profile.rs
@@ -181,6 +181,13 @@
         let message = format!("{key} has no former serial {}", command.serial);
         CommandError::request(message, "see greengagefork profile history")
     })?;
+    if former.document == Document::Removed {
+        let message = format!("serial {} of {key} is a removal", command.serial);
+        return Err(CommandError::request(
+            message,
+            "to remove it, use greengagefork profile remove",
+        ));
+    }
     let text = print_document(&key, &former.document, versioned.version);
     apply(context, &text, false, command.wait).await
 }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -134,3 +134,29 @@
         }
     }
 }
+
+/// A former content that was a removal has nothing to apply; the document in
+/// force stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn rollback_to_removal_refused() {
+    let fleet = support::fleet(FleetSettings { daemons: 1, ..FleetSettings::default() }).await;
+    let client = operator(&fleet, 0);
+    client.apply(&change(1000, 0), false).await.expect("new profile is accepted");
+    client.remove(PROFILE_KEY).await.expect("the profile is removed");
+    client.apply(&change(3000, 0), true).await.expect("it is accepted again");
+    let address = &fleet.daemons[0].operators;
+    let rollback = ["--daemon", address, "profile", "rollback", "changing", "2"];
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_greengagefork"))
+        .args(rollback)
+        .output()
+        .expect("run command");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1), "{text}");
+    assert!(text.contains("removal"), "{text}");
+    let documents = client.documents().await.expect("documents");
+    let found = documents.iter().find(|(key, _)| **key == *PROFILE_KEY).expect("the profile");
+    let gg_protocol::Document::Profile(profile) = &found.1.doc.current.document else {
+        panic!("{found:?}")
+    };
+    assert_eq!(profile.target_ms, 3000);
+}
