A removed upstream stays closed at its dispatcher

Callers saw: after an operator removed an upstream, calls that another daemon had still placed there were granted slots, eight at a time, and sent to it.

Cause: the dispatcher dropped a removed upstream's queue, and the next request or release created one anew with the default slots, as for one that is not configured yet.

Evidence: removed_replica_stays_closed failed before (Granted).

Change: removed upstreams are remembered and closed until they are configured again; a release of a slot there creates nothing.

--- a/crates/gg-dispatch/src/dispatcher.rs
+++ b/crates/gg-dispatch/src/dispatcher.rs
@@ -10,7 +10,7 @@
     config::RANKS,
     peer::{QueueView, SlotOutcome, SlotRelease, SlotReply, SlotRequest},
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::{sync::oneshot, time};
 
 use crate::{
@@ -53,6 +53,9 @@
 struct State {
     replicas: IndexMap<Name, Arc<Mutex<Replica>>>,
     slots: IndexMap<Name, u32>,
+    /// Upstreams that were removed from the configuration. Homes may still send
+    /// requests for them.
+    removed: IndexSet<Name>,
     floors: [f64; RANKS],
 }
 
@@ -75,14 +78,17 @@
                 replica.dispatch_waiting();
             }
         }
-        state.replicas.retain(|name, _| slots.contains_key(name));
-        state.slots = slots;
+        let former = std::mem::replace(&mut state.slots, slots);
+        let State { replicas, slots, removed, .. } = &mut *state;
+        removed.extend(former.into_keys());
+        removed.retain(|name| !slots.contains_key(name));
+        replicas.retain(|name, _| slots.contains_key(name));
         state.floors = floors;
     }
 
     /// Marks a replica as draining, or accepts new work for it again.
     pub fn set_draining(&self, upstream: &Name, draining: bool) {
-        let replica = self.replica(upstream);
+        let Some(replica) = self.replica(upstream) else { return };
         let mut replica = lock(&replica);
         if replica.draining != draining {
             replica.draining = draining;
@@ -93,7 +99,7 @@
     /// Waits for a slot. Dropping the future removes the request from the
     /// queue, or releases the slot if it was granted at the same moment.
     pub async fn acquire(&self, request: SlotRequest) -> SlotReply {
-        let replica = self.replica(&request.upstream);
+        let Some(replica) = self.replica(&request.upstream) else { return SlotReply::Closed };
         let started = time::Instant::now();
         let (granted, grant) = oneshot::channel();
         let ejected = {
@@ -129,7 +135,7 @@
 
     /// Releases a slot, or removes the request from the queue.
     pub fn release(&self, release: &SlotRelease) {
-        let replica = self.replica(&release.upstream);
+        let Some(replica) = self.replica(&release.upstream) else { return };
         let ticket = (release.home.clone(), release.ticket);
         let mut locked = lock(&replica);
         locked.release(&ticket, release.outcome);
@@ -148,9 +154,10 @@
         }
     }
 
-    /// Returns the state of one replica's queue.
-    pub fn view(&self, upstream: &Name) -> QueueView {
-        lock(&self.replica(upstream)).view(upstream)
+    /// Returns the state of one replica's queue, unless it was removed from the
+    /// configuration.
+    pub fn view(&self, upstream: &Name) -> Option<QueueView> {
+        self.replica(upstream).map(|replica| lock(&replica).view(upstream))
     }
 
     /// Returns the state of all queues of this daemon.
@@ -159,17 +166,22 @@
         state.replicas.iter().map(|(name, replica)| lock(replica).view(name)).collect()
     }
 
-    fn replica(&self, upstream: &Name) -> Arc<Mutex<Replica>> {
+    /// The replica of an upstream, which may not be configured yet; `None` if it
+    /// was removed from the configuration.
+    fn replica(&self, upstream: &Name) -> Option<Arc<Mutex<Replica>>> {
         let mut state = lock(&self.shared.state);
         if let Some(replica) = state.replicas.get(upstream) {
-            return replica.clone();
+            return Some(replica.clone());
+        }
+        if state.removed.contains(upstream) {
+            return None;
         }
         let settings = &self.shared.settings;
         let slots = state.slots.get(upstream).copied().unwrap_or(settings.default_slots);
         let replica = Replica::new(settings.limit.clone(), slots, state.floors);
         let replica = Arc::new(Mutex::new(replica));
         state.replicas.insert(upstream.clone(), replica.clone());
-        replica
+        Some(replica)
     }
 }
 
--- a/crates/gg-dispatch/tests/dispatcher.rs
+++ b/crates/gg-dispatch/tests/dispatcher.rs
@@ -67,12 +67,25 @@
         let dispatcher = dispatcher.clone();
         async move { dispatcher.acquire(long_wait).await }
     });
-    while dispatcher.view(&"e1".into()).waiting[0] == 0 {
+    while dispatcher.view(&"e1".into()).expect("configured").waiting[0] == 0 {
         tokio::task::yield_now().await;
     }
     waiting.abort();
     let _ = waiting.await;
-    assert_eq!(dispatcher.view(&"e1".into()).waiting[0], 0);
+    assert_eq!(dispatcher.view(&"e1".into()).expect("configured").waiting[0], 0);
+}
+
+/// Homes may still know an upstream that was removed from the configuration.
+#[tokio::test]
+async fn removed_replica_stays_closed() {
+    let dispatcher = dispatcher(2);
+    assert!(is_granted(&dispatcher.acquire(request(1)).await));
+    dispatcher.configure([].into_iter().collect(), [0.0; RANKS]);
+    assert_eq!(dispatcher.acquire(request(2)).await, SlotReply::Closed);
+    dispatcher.release(&release(1, SlotOutcome::Cancelled));
+    assert!(dispatcher.views().is_empty(), "{:?}", dispatcher.views());
+    dispatcher.configure([(Name::from("e1"), 2)].into_iter().collect(), [0.0; RANKS]);
+    assert!(is_granted(&dispatcher.acquire(request(3)).await));
 }
 
 #[tokio::test]
@@ -110,7 +123,7 @@
         dispatcher.release(&release(ticket, SlotOutcome::Failed));
     }
     // An engine that fails fast is not treated as idle.
-    assert!(dispatcher.view(&"e1".into()).wait_ms[0] > 0);
+    assert!(dispatcher.view(&"e1".into()).expect("configured").wait_ms[0] > 0);
     assert_eq!(dispatcher.acquire(request(2)).await, SlotReply::Expired);
 }
 
