Watches that an outage left unanswered are restarted when it ends

Callers saw: after an outage of the platform's store, requests on new routes got 404 and changed routes were handled as before, for 6 s after the operator's change was acknowledged (CONFIG).

Cause: a watch that was open when the store fell silent is never answered, and ends by its own timeout, 11 s after its start. Followers of other kinds found the store back after 1 s, which told the hanging one nothing.

Change: Outages, shared by the followers of a process: when one finds the directory back after an unanswered call, the others give up their calls and list. Watches of the configuration and of replicas last 4 s instead of 10, for outages in which all watches of all instances hang.

--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -16,7 +16,7 @@
 use gg_ledger::{LAYOUT_NAME, Registration};
 use gg_platform::{
     Change, DirectoryUpdate, Entry, FRESH_TIME, FollowSettings, Freshness, Kind, MirrorUpdate,
-    follow_unless_fresh,
+    Outages, follow_unless_fresh,
 };
 use gg_route::Deployment;
 use rand::Rng;
@@ -63,6 +63,7 @@
     /// Revision of the entries in use.
     revision: Mutex<u64>,
     freshness: Mutex<Freshness>,
+    outages: &'a Outages,
     is_directory_lost: AtomicBool,
 }
 
@@ -76,11 +77,13 @@
         true => FOUNDING_DELAY.mul_f64(rand::rng().random_range(1.0..2.0)),
         false => Duration::ZERO,
     };
+    let outages = Outages::default();
     let kinds = KINDS.map(|kind| FollowedKind {
         state: &state,
         kind,
         revision: Mutex::default(),
         freshness: Mutex::default(),
+        outages: &outages,
         is_directory_lost: AtomicBool::new(false),
     });
     let [configuration, upstreams, ledgers] = &kinds;
@@ -136,8 +139,9 @@
         let watch_delay = if self.kind == Kind::Ledgers { FRESH_TIME } else { Duration::ZERO };
         let settings = FollowSettings { watch_delay, ..FollowSettings::default() };
         let apply = |update| self.apply_direct(update);
-        follow_unless_fresh(&self.state.deployment, self.kind, settings, &self.freshness, apply)
-            .await;
+        let directory = &self.state.deployment;
+        let (outages, freshness) = (self.outages, &self.freshness);
+        follow_unless_fresh(directory, self.kind, settings, outages, freshness, apply).await;
     }
 
     fn apply_mirrored(&self, update: MirrorUpdate) {
--- a/crates/gg-ledger/src/layout_controller.rs
+++ b/crates/gg-ledger/src/layout_controller.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use gg_platform::{
-    Change, DirectoryUpdate, Entry, FollowSettings, Kind, MirrorUpdate, PlatformError,
+    Change, DirectoryUpdate, Entry, FollowSettings, Kind, MirrorUpdate, Outages, PlatformError,
     follow_unless_fresh,
 };
 use gg_protocol::Name;
@@ -99,6 +99,7 @@
     state: Mutex<DirectoryState>,
     links: Mutex<Links>,
     sources: [Source; KINDS.len()],
+    outages: Outages,
     changed: Notify,
 }
 
@@ -134,6 +135,7 @@
             state: Mutex::default(),
             links,
             sources: KINDS.map(Source::new),
+            outages: Outages::default(),
             changed: Notify::new(),
         }
     }
@@ -172,6 +174,7 @@
             &self.directory,
             source.kind,
             settings,
+            &self.outages,
             &source.freshness,
             apply_directory_update,
         )
--- a/crates/gg-platform/src/follow.rs
+++ b/crates/gg-platform/src/follow.rs
@@ -9,14 +9,19 @@
 use rand::Rng;
 use tokio::time;
 
-use crate::{Change, Directory, Entry, FRESH_TIME, Freshness, Kind, PlatformError, Watched};
+use crate::{
+    Change, Directory, Entry, FRESH_TIME, Freshness, Kind, Outages, PlatformError, Watched,
+};
 
 /// Intervals and delays used while following a kind.
 #[derive(Clone, Copy, Debug)]
 pub struct FollowSettings {
-    /// Maximum duration of one watch. A longer wait needs fewer calls, which are
-    /// billed, but a lost response goes unnoticed for this long.
+    /// Maximum duration of one watch of a kind that affects how requests are
+    /// handled: configuration and replicas. A longer wait needs fewer calls,
+    /// which are billed, but a lost response goes unnoticed for this long.
     pub wait: Duration,
+    /// Maximum duration of one watch of the other kinds.
+    pub idle_wait: Duration,
     /// Delay after a watch that returned changes, so that changes in quick
     /// succession are fetched with one call. Adds up to this delay to updates.
     pub batch_delay: Duration,
@@ -34,7 +39,8 @@
 impl Default for FollowSettings {
     fn default() -> Self {
         FollowSettings {
-            wait: Duration::from_secs(10),
+            wait: Duration::from_secs(4),
+            idle_wait: Duration::from_secs(10),
             batch_delay: Duration::from_millis(250),
             watch_delay: Duration::ZERO,
             retry_delay: Duration::from_millis(50),
@@ -55,17 +61,29 @@
 }
 
 /// Follows `kind` until the future is dropped and passes each update to
-/// `on_update`.
+/// `on_update`. Lists the entries again when an outage ends that another
+/// follower noticed.
 pub async fn follow<D: Directory>(
     directory: &D,
     kind: Kind,
     settings: FollowSettings,
+    outages: &Outages,
     mut on_update: impl FnMut(DirectoryUpdate),
 ) {
     let mut retry_delay = settings.retry_delay;
     let mut revision = None;
     loop {
-        match list_or_watch(directory, kind, settings.wait, revision).await {
+        let wait = settings.wait_for(kind);
+        let called = tokio::select! {
+            called = list_or_watch(directory, kind, wait, revision) => called,
+            () = outages.next_end() => {
+                log::info!("event=watch_restarted kind={}", kind.as_str());
+                revision = None;
+                continue;
+            }
+        };
+        outages.record(!matches!(called, Err(PlatformError::Unavailable(_))));
+        match called {
             Ok((next, update)) => {
                 retry_delay = settings.retry_delay;
                 revision = next;
@@ -91,12 +109,22 @@
     }
 }
 
+impl FollowSettings {
+    fn wait_for(&self, kind: Kind) -> Duration {
+        match kind {
+            Kind::Configuration | Kind::Upstreams => self.wait,
+            Kind::Ledgers | Kind::Removals => self.idle_wait,
+        }
+    }
+}
+
 /// Follows `kind` while no other source reports up-to-date entries, until the
 /// future is dropped.
 pub async fn follow_unless_fresh<D: Directory>(
     directory: &D,
     kind: Kind,
     settings: FollowSettings,
+    outages: &Outages,
     freshness: &Mutex<Freshness>,
     mut on_update: impl FnMut(DirectoryUpdate),
 ) {
@@ -113,7 +141,7 @@
             }
         };
         tokio::select! {
-            () = follow(directory, kind, settings, &mut on_update) => {}
+            () = follow(directory, kind, settings, outages, &mut on_update) => {}
             () = until_fresh => {}
         }
     }
--- a/crates/gg-platform/src/lib.rs
+++ b/crates/gg-platform/src/lib.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod freshness;
 mod mirror;
+mod outages;
 mod store;
 mod types;
 
@@ -17,5 +18,6 @@
 pub use follow::{DirectoryUpdate, FollowSettings, follow, follow_unless_fresh};
 pub use freshness::{FRESH_TIME, Freshness};
 pub use mirror::{Mirror, MirrorUpdate};
+pub use outages::Outages;
 pub use store::ObjectStore;
 pub use types::{Changes, InstanceInfo, InstanceKind, InstanceState, Item, Listing, Object, When};
