At most three denied permits before a request goes where the wait is known

Callers saw: on sites with many limited replicas, requests that asked one replica's issuer after the other: up to 31 round trips before they were placed.

Cause: a replica that was not asked for lately looks free, so each denied permit led to the next one; the chain grew with the number of limited replicas.

Change: after three, only replicas without a limit and those that were asked for are considered.

--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -27,6 +27,10 @@
 /// Share of the remaining time that a request may wait for capacity.
 const WAIT_SHARE: f64 = 0.3;
 
+/// Denied permits after which a request goes to a replica whose wait is known:
+/// one without a limit, or one of those that were asked for.
+const DENIALS_MAX: usize = 3;
+
 /// Less urgent requests wait less for a permit, by this factor for each rank, so
 /// that the permits that are due later are left to more urgent ones.
 const RANK_WAIT_FACTOR: f64 = 0.8;
@@ -58,6 +62,7 @@
         RetryDecision::Abandon => Failure::unknown(Code::UpstreamFailed, failure.message),
         _ => failure,
     };
+    let mut denied: Vec<Arc<Replica>> = Vec::new();
     loop {
         // Similar requests may have crashed replicas while this one waited, or
         // while it was on a replica that then refused it.
@@ -82,7 +87,8 @@
         if in_time.is_empty() {
             return Err(unplaced(no_permit(job, &available)));
         }
-        if let Some(selected) = select(state, job, &in_time, opened) {
+        let candidates = after_denials(&in_time, &denied);
+        if let Some(selected) = select(state, job, &candidates, opened) {
             let wait_max = selected.wait_max.min(permit_max);
             if let Some(permit) = Permit::acquire(state, job, &selected.replica, wait_max).await {
                 return Ok(selected.occupy(permit, in_flight, job, started_at, tried.len() + 1));
@@ -91,6 +97,7 @@
                 return Err(unplaced(no_permit(job, &available)));
             }
             // The wait for a permit is known better now.
+            denied.push(selected.replica);
             continue;
         }
         if time::timeout_at(limit, notified).await.is_err() {
@@ -99,6 +106,20 @@
     }
 }
 
+/// Replicas that are considered after some were `denied` a permit: with many
+/// limited replicas, asking for one after the other would take longer than to
+/// wait for a known one.
+fn after_denials<'a>(
+    available: &[&'a Arc<Replica>],
+    denied: &[Arc<Replica>],
+) -> Vec<&'a Arc<Replica>> {
+    let is_known = |replica: &&Arc<Replica>| {
+        replica.rate_limit().is_none() || denied.iter().any(|known| Arc::ptr_eq(known, replica))
+    };
+    let known: Vec<_> = available.iter().copied().filter(is_known).collect();
+    if denied.len() < DENIALS_MAX || known.is_empty() { available.to_vec() } else { known }
+}
+
 /// A refusal as the announced limits of all replicas leave no room in time. It
 /// tells the client to retry when the next permit is due.
 pub(crate) fn no_permit(job: &Job, available: &[&Arc<Replica>]) -> Failure {
