A wait that is longer than its turn doesn't underflow a program's busy time

In a release build one such turn would make the mean turn time of its profile astronomic, and all new programs of the profile be refused.

Cause: the dispatcher measures the wait for a slot and the home the turn; when the home's machine is suspended, its steady clock stands still and the other's goes on. The difference was taken unchecked.

Evidence: wait_longer_than_turn_counts_no_busy_time failed before, with the expression moved as it was (attempt to subtract with overflow).

Change: Program::busy_ms, saturating.

--- a/crates/gg-daemon/src/home/end.rs
+++ b/crates/gg-daemon/src/home/end.rs
@@ -68,9 +68,8 @@
     /// Logs and counts the end of a program, and updates the forecast with its
     /// turns.
     pub(crate) fn record_end(&self, program: &Program, reason: EndReason) {
-        let busy_ms = program.turns.iter().map(|turn| turn.took_ms - turn.waited_ms).sum();
         let turns = program.turns.len();
-        self.shared.forecast.record_program(&program.start.profile, turns, busy_ms);
+        self.shared.forecast.record_program(&program.start.profile, turns, program.busy_ms());
         self.shared.forecast.record_end(&program.start.profile);
         self.shared.metrics.count("program_ended");
         log::info!(
--- a/crates/gg-program/src/program.rs
+++ b/crates/gg-program/src/program.rs
@@ -179,6 +179,11 @@
         next_digest(&self.chain, turn)
     }
 
+    /// Total time of all finished turns without their waits for slots, in ms.
+    pub fn busy_ms(&self) -> u64 {
+        self.turns.iter().map(|turn| turn.took_ms.saturating_sub(turn.waited_ms)).sum()
+    }
+
     /// Applies a finished turn. A turn that was applied before is ignored.
     pub fn apply_turn(&mut self, record: &TurnRecord) -> Result<(), RecordError> {
         let expected = self.next_turn();
--- a/crates/gg-program/tests/order.rs
+++ b/crates/gg-program/tests/order.rs
@@ -197,3 +197,15 @@
     assert_eq!(program.state, State::Ended { reason: EndReason::Idle, at_ms: 5 });
     assert_eq!(program.turn_status(None, None, "x"), TurnStatus::Ended(EndReason::Idle));
 }
+
+/// The dispatcher measures the wait: its clock goes on while the home's machine
+/// is suspended.
+#[test]
+fn wait_longer_than_turn_counts_no_busy_time() {
+    let mut program = Program::new(start(1, "ukhozi"));
+    for (took_ms, waited_ms) in [(20, 5), (5, 3_000)] {
+        let record = turn(&program, "ask");
+        program.apply_turn(&TurnRecord { took_ms, waited_ms, ..record }).expect("in order");
+    }
+    assert_eq!(program.busy_ms(), 15);
+}
