limit_soak loses one disk at a time

Change: before a disk is lost the frozen instance goes on and the layout is waited for, as in the other soak. The checks are the same; the wait at the end, which checked nothing, is gone.

--- a/tests/limit_soak.rs
+++ b/tests/limit_soak.rs
@@ -133,6 +133,12 @@
                 }
             }
             2 => {
+                // Only one disk may be lost at a time, so the former loss has to
+                // be made good.
+                if let Some(former) = frozen.take() {
+                    servers[former].signal(libc::SIGCONT);
+                }
+                wait_for_layout(&processes.store).await;
                 servers[ledger].kill();
                 for entry in std::fs::read_dir(processes.folders[ledger].path()).expect("folder") {
                     std::fs::remove_file(entry.expect("entry").path()).expect("remove file");
@@ -185,7 +191,6 @@
         })
         .collect();
     inject_faults(&processes, &mut servers, &mut random).await;
-    wait_for_layout(&processes.store).await;
     clients.is_finished.store(true, Ordering::Relaxed);
     for task in tasks {
         task.await.unwrap_or_else(|err| panic!("seed {seed}: {err}"));
