--- a/tests/limit_soak.rs
+++ b/tests/limit_soak.rs
@@ -24,7 +24,11 @@
 use gg_http::{Client, Reply};
 use http::{Request, StatusCode};
 use processes::{LEDGERS, Processes, ServerProcess, wait_for_layout};
-use support::{FakeReplica, FaultProfile, deployment::eventually};
+use support::{
+    FakeReplica, FaultProfile,
+    deployment::eventually,
+    rate_limit::{NOTICE, allowed, busiest_window},
+};
 use tokio::time::{self, Instant};
 
 const SEEDS: [u64; 2] = [1, 2];
@@ -40,12 +44,6 @@
 /// Faults injected in one run.
 const FAULTS: usize = 10;
 
-/// Length of the time in which requests to a limited replica are counted.
-const WINDOW: Duration = Duration::from_secs(4);
-
-/// A gateway that has forwarded an announcement is bound by it from then on.
-const NOTICE: Duration = Duration::from_millis(500);
-
 /// State of the clients.
 struct Clients {
     processes: Arc<Processes>,
@@ -106,14 +104,6 @@
     }
 }
 
-/// Most requests that arrived in any [`WINDOW`] from `since` on.
-fn busiest_window(replica: &FakeReplica, since: Instant) -> usize {
-    let arrivals: Vec<Instant> = replica.arrivals().into_iter().filter(|at| *at >= since).collect();
-    let count =
-        |from: &Instant| arrivals.iter().filter(|at| (*from..*from + WINDOW).contains(at)).count();
-    arrivals.iter().map(count).max().unwrap_or(0)
-}
-
 /// Injects faults; each overlaps the next one.
 async fn inject_faults(processes: &Processes, servers: &mut [ServerProcess], random: &mut Random) {
     let mut frozen = None;
@@ -196,7 +186,7 @@
         task.await.unwrap_or_else(|err| panic!("seed {seed}: {err}"));
     }
     for (replica, rate) in limited.iter().zip(&rates) {
-        let allowed = (1.5 * rate * WINDOW.as_secs_f64()) as usize + 5;
+        let allowed = allowed(*rate);
         let busiest = busiest_window(replica, since);
         println!("seed {seed}: {} at {rate}/s: {busiest} of {allowed}", replica.name);
         assert!(busiest <= allowed, "seed {seed}: {busiest} of {allowed} at {rate}/s");
