--- a/crates/gg-platform/tests/outages.rs
+++ b/crates/gg-platform/tests/outages.rs
@@ -81,7 +81,7 @@
         _body: Bytes,
         _expected: Option<u64>,
     ) -> Result<u64, PlatformError> {
-        unimplemented!("followers don't write")
+        unreachable!("followers don't write")
     }
 
     async fn write_status(
@@ -90,7 +90,7 @@
         _name: &str,
         _status: Bytes,
     ) -> Result<(), PlatformError> {
-        unimplemented!("followers don't write")
+        unreachable!("followers don't write")
     }
 }
 
