Failed sends log their duration and whether the connection was new

The logs could not tell a connection attempt that was slow from one that went nowhere, nor new connections from idle ones.

Change: connect_failed has ms, send_broke has connection and ms.

--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -338,40 +338,53 @@
     for _ in 0..REUSE_ATTEMPTS_MAX {
         let Some(mut connection) = replica.pool.take_idle() else { break };
         crash_guard.record_sent(connection.opened);
+        let sent_at = Instant::now();
         match connection.send(request).await {
             Ok(response) => return Ok((connection, response)),
             Err(mut err) => match err.take_message() {
                 Some(unsent) => request = unsent,
-                None => return Err(connection_lost(job, replica, err.error())),
+                None => return Err(connection_lost(job, replica, "idle", sent_at, err.error())),
             },
         }
     }
+    let started_at = Instant::now();
     let mut connection = match replica.pool.connect().await {
         Ok(connection) => connection,
         Err(err) => {
             log::warn!(
-                "event=connect_failed request={} replica={} error={err}",
+                "event=connect_failed request={} replica={} ms={} error={err}",
                 job.id(),
-                replica.upstream.id.name
+                replica.upstream.id.name,
+                started_at.elapsed().as_millis()
             );
             return Err(Outcome::Unsent);
         }
     };
     crash_guard.record_sent(connection.opened);
+    let sent_at = Instant::now();
     match connection.send(request).await {
         Ok(response) => Ok((connection, response)),
         Err(mut err) => match err.take_message() {
             Some(_) => Err(Outcome::Unsent),
-            None => Err(connection_lost(job, replica, err.error())),
+            None => Err(connection_lost(job, replica, "new", sent_at, err.error())),
         },
     }
 }
 
-fn connection_lost(job: &Job, replica: &Replica, err: &hyper::Error) -> Outcome {
+/// Logs that a connection was lost after the request was sent on it. It was
+/// `connection`: idle in the pool before, or new.
+fn connection_lost(
+    job: &Job,
+    replica: &Replica,
+    connection: &str,
+    sent_at: Instant,
+    err: &hyper::Error,
+) -> Outcome {
     log::warn!(
-        "event=send_broke request={} replica={} error={err}",
+        "event=send_broke request={} replica={} connection={connection} ms={} error={err}",
         job.id(),
-        replica.upstream.id.name
+        replica.upstream.id.name,
+        sent_at.elapsed().as_millis()
     );
     Outcome::Unknown
 }
