Gateways that are cut off reach replicas through other gateways

What callers saw: a gateway that lost the replicas was the only way in that its callers had.

Cause: a gateway took a failed connection for a fault of that replica, and what it saw for how the fleet is. It had one way to a replica and asked nobody else; so it tried the next replica, 600 ms each, and reported sound replicas as crashed, which made sound gateways refuse requests as quarantined.

Change: a connection attempt that is refused or takes over 150 ms is repeated as a tunnel through another gateway, before anything of a request is sent. That gateway only copies bytes; tries, budgets, permits, deadlines and streams stay with the one that has read the request. What the other gateway finds tells a lost path from a replica that is down (Reachability, without I/O); three lost paths in a row count as a cut. Gateways offer tunnels in their polls of ledger instances; one that may be cut off offers none. Crash facts need a replica that a second gateway doesn't reach either. A gateway that nobody helps refuses at once and is not ready.

--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     proxy::{Job, hash},
-    replica::Replica,
+    replica::{Reached, Replica},
     state::State,
 };
 
@@ -172,16 +172,27 @@
         );
         return;
     }
-    let (is_reachable, checked_ms) = replica.check_reachable(started_at).await;
+    let connect = state.connector.connect(&state.fleet, &replica);
+    let (reached, checked_ms) = replica.check_reachable(started_at, connect).await;
     let start = match is_unlisted {
         true => format!("{}/{}/{}.{checked_ms}", id.name, id.started_ms, state.ledger.client())
             .as_str()
             .into(),
         false => replica.incarnation(),
     };
-    if !is_reachable {
-        report_crash(&state, &request, fingerprint, start, "unreachable");
-        return;
+    match reached {
+        Reached::Yes => {}
+        Reached::No => {
+            report_crash(&state, &request, fingerprint, start, "unreachable");
+            return;
+        }
+        Reached::Unknown => {
+            log::info!(
+                "event=crash_dismissed request={request} replica={} reason=gateway_may_be_cut_off",
+                id.name
+            );
+            return;
+        }
     }
     if !state.fleet.is_replaced(&replica) {
         time::sleep(RESTART_LISTING_TIME).await;
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -105,20 +105,31 @@
         let known: Vec<(Kind, u64)> =
             kinds.iter().map(|followed| (followed.kind, *lock(&followed.revision))).collect();
         let overload = admit::overload_statistics(state);
-        let responses = state.ledger.poll(&known, &overload).await;
+        let tunnels = state.connector.poll_tunnels(state.is_stopping());
+        let responses = state.ledger.poll(&known, &overload, &tunnels).await;
+        let has_reply = !responses.is_empty();
+        let mut peers = Vec::new();
         for response in responses {
             admit::record_shared(state, response.overload);
             permit::record_limits(state, response.limits);
+            peers.extend(response.peers);
             for update in response.updates {
                 if let Some(followed) = kinds.iter().find(|followed| followed.kind == update.kind) {
                     followed.apply_mirrored(update);
                 }
             }
         }
+        if tunnels.wants_peers && has_reply {
+            state.connector.update_peers(peers, state.gateways());
+        }
         let slowdown = f64::from(state.gateways()) / f64::from(FULL_RATE_GATEWAYS);
         let has_state = state.table().is_some() && state.fleet.is_usable();
         let pause = if has_state { POLL_INTERVAL } else { START_POLL_INTERVAL };
-        time::sleep(pause.mul_f64(slowdown.clamp(1.0, 2.0))).await;
+        let pause = time::sleep(pause.mul_f64(slowdown.clamp(1.0, 2.0)));
+        tokio::select! {
+            () = pause => {}
+            () = state.connector.peers_wanted() => {}
+        }
     }
 }
 
--- a/crates/gg-gateway/src/fleet.rs
+++ b/crates/gg-gateway/src/fleet.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::{
+    pool::Connection,
     replica::{Replica, ServiceLoad},
     state::lock,
 };
@@ -88,6 +89,23 @@
         lock(&self.state).replicas.get(name).cloned()
     }
 
+    /// All replicas.
+    pub(crate) fn replicas(&self) -> Vec<Arc<Replica>> {
+        lock(&self.state).replicas.values().cloned().collect()
+    }
+
+    /// Number of replicas.
+    pub(crate) fn len(&self) -> usize {
+        lock(&self.state).replicas.len()
+    }
+
+    /// Closes idle connections to all replicas for which `is_unwanted` returns
+    /// true.
+    pub(crate) fn close_idle(&self, is_unwanted: impl Fn(&Connection) -> bool) {
+        let replicas = self.replicas();
+        replicas.iter().for_each(|replica| replica.pool.close_idle(&is_unwanted));
+    }
+
     /// Whether another incarnation has taken a replica's name or address.
     pub(crate) fn is_replaced(&self, replica: &Replica) -> bool {
         let is_other = |known: &Arc<Replica>| {
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -12,9 +12,9 @@
 use gg_settings::{GatewaySettings, LedgerSettings};
 use quick_error::quick_error;
 use tokio::{net::TcpListener, time};
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{discovery, ingress, state::State};
+use crate::{connect::Connector, discovery, ingress, state::State};
 
 quick_error! {
     /// Why an instance could not run.
@@ -56,7 +56,14 @@
         Ledger::new(settings.instance.clone(), settings.centre.clone(), stop.child_token());
     let registry = Registry::default();
     let metrics = Metrics::new(&registry);
-    let state = Arc::new(State::new(deployment, settings.centre.clone(), ledger, metrics));
+    let connector = Connector::new(
+        settings.instance.clone(),
+        settings.centre.clone(),
+        settings.tunnels,
+        metrics.clone(),
+    );
+    let state =
+        Arc::new(State::new(deployment, settings.centre.clone(), ledger, connector, metrics));
     if let Some(address) = settings.metrics {
         let refresh = {
             let state = state.clone();
@@ -66,6 +73,17 @@
     }
     tokio::spawn(discovery::run(state.clone(), settings.is_first_start, stop.child_token()));
     tokio::spawn(ingress::serve_readiness(ready, state.clone(), stop.child_token()));
+    let carried = TaskTracker::new();
+    if let Some(address) = settings.tunnels {
+        let (connector, fleet) = (state.connector.clone(), state.fleet.clone());
+        let serving =
+            connector.serve_tunnels(fleet, listen(address)?, stopping.clone(), carried.clone());
+        tokio::spawn(stop.clone().run_until_cancelled_owned(serving));
+    }
+    let probing = state.clone();
+    tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
+        probing.connector.probe_paths(&probing.fleet).await;
+    }));
     let listener_stop = CancellationToken::new();
     let base = ServerLimits {
         connections: settings.connections,
@@ -80,7 +98,9 @@
     state.stop();
     time::sleep(NOT_READY_TIME).await;
     listener_stop.cancel();
-    if let Err(err) = serving.await {
+    carried.close();
+    let (served, _) = tokio::join!(serving, time::timeout(base.stop_timeout, carried.wait()));
+    if let Err(err) = served {
         log::error!("event=listener_failed error={err}");
     }
     stop.cancel();
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -78,6 +78,10 @@
         if available.is_empty() {
             return Err(unplaced(refusal("all replicas were tried")));
         }
+        let available = reachable(state, available);
+        if available.is_empty() {
+            return Err(unplaced(refusal("no replica can be reached")));
+        }
         let permit_max = permit_limit.saturating_duration_since(Instant::now());
         let in_time: Vec<_> = available
             .iter()
@@ -106,6 +110,15 @@
     }
 }
 
+/// The replicas to which this gateway has or may open a connection: while it is
+/// isolated, those with an idle one.
+fn reachable<'a, D>(state: &State<D>, available: Vec<&'a Arc<Replica>>) -> Vec<&'a Arc<Replica>> {
+    if !state.connector.is_isolated() {
+        return available;
+    }
+    available.into_iter().filter(|replica| replica.pool.has_idle()).collect()
+}
+
 /// Replicas that are considered after some were `denied` a permit: with many
 /// limited replicas, asking for one after the other would take longer than to
 /// wait for a known one.
--- a/crates/gg-gateway/src/pool.rs
+++ b/crates/gg-gateway/src/pool.rs
@@ -5,13 +5,14 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use gg_http::connect_socket;
+use gg_protocol::Name;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::{
@@ -22,12 +23,10 @@
     },
 };
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::state::lock;
 
-/// Connect timeout; replicas are a few ms away.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// Idle time after which a connection is not reused, if the replica does not
 /// announce a keep-alive timeout.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(2);
@@ -45,9 +44,31 @@
     sender: SendRequest<Full<Bytes>>,
     /// When the connection was opened.
     pub(crate) opened: Instant,
+    /// Set for a connection through another gateway.
+    pub(crate) tunnel: Option<Tunnel>,
+}
+
+/// A tunnel through another gateway.
+#[derive(Debug)]
+pub(crate) struct Tunnel {
+    pub(crate) peer: Name,
+    pub(crate) number: u64,
+    /// Set when the peer stops: the tunnel should take no further request.
+    pub(crate) is_closing: Arc<AtomicBool>,
 }
 
 impl Connection {
+    /// Whether the connection goes through another gateway.
+    pub(crate) fn is_tunnel(&self) -> bool {
+        self.tunnel.is_some()
+    }
+
+    /// Whether the connection takes no further request.
+    fn is_closing(&self) -> bool {
+        let is_closing = |tunnel: &Tunnel| tunnel.is_closing.load(Ordering::Relaxed);
+        self.sender.is_closed() || self.tunnel.as_ref().is_some_and(is_closing)
+    }
+
     /// Sends a request. The error returns a request that was not sent.
     pub(crate) async fn send(
         &mut self,
@@ -80,14 +101,31 @@
     pub(crate) fn take_idle(&self) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let now = Instant::now();
-        idle.retain(|idle| idle.expires > now && !idle.connection.sender.is_closed());
+        idle.retain(|idle| idle.expires > now && !idle.connection.is_closing());
         let index = idle.iter().rposition(|idle| idle.connection.sender.is_ready())?;
         Some(idle.remove(index).connection)
     }
 
-    /// Opens a new connection.
-    pub(crate) async fn connect(&self) -> io::Result<Connection> {
-        let socket = connect_socket(self.address, CONNECT_TIMEOUT).await?;
+    /// Whether there is an idle connection.
+    pub(crate) fn has_idle(&self) -> bool {
+        lock(&self.idle).iter().any(|idle| !idle.connection.is_closing())
+    }
+
+    /// Opens a new direct connection.
+    pub(crate) async fn connect(&self, timeout: Duration) -> io::Result<Connection> {
+        let socket = connect_socket(self.address, timeout).await?;
+        self.handshake(socket, None).await
+    }
+
+    /// Makes a connection of an open socket or tunnel.
+    pub(crate) async fn handshake<T>(
+        &self,
+        socket: T,
+        tunnel: Option<Tunnel>,
+    ) -> io::Result<Connection>
+    where
+        T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         let opened = Instant::now();
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_MAX_BYTES)
@@ -102,7 +140,7 @@
             }
             open.fetch_sub(1, Ordering::Relaxed);
         });
-        Ok(Connection { sender, opened })
+        Ok(Connection { sender, opened, tunnel })
     }
 
     /// Returns a connection to the pool after its response was read completely.
@@ -120,6 +158,11 @@
     pub(crate) fn clear(&self) {
         lock(&self.idle).clear();
     }
+
+    /// Closes idle connections for which `is_unwanted` returns true.
+    pub(crate) fn close_idle(&self, is_unwanted: impl Fn(&Connection) -> bool) {
+        lock(&self.idle).retain(|idle| !is_unwanted(&idle.connection));
+    }
 }
 
 /// Time for which an idle connection may be reused: the replica's keep-alive
--- a/crates/gg-gateway/src/replica.rs
+++ b/crates/gg-gateway/src/replica.rs
@@ -12,7 +12,13 @@
 use gg_route::{PromptPart, Service, Upstream, UpstreamState};
 use tokio::sync::Notify;
 
-use crate::{LimitChange, PrefixCache, RateLimit, permit::Permit, pool::Pool, state::lock};
+use crate::{
+    LimitChange, PrefixCache, RateLimit,
+    connect::ConnectError,
+    permit::Permit,
+    pool::{Connection, Pool},
+    state::lock,
+};
 
 /// Weight of the newest observation in a replica's mean delay.
 const DELAY_WEIGHT: f64 = 0.2;
@@ -91,6 +97,15 @@
     }
 }
 
+/// Result of a check whether a replica can be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reached {
+    Yes,
+    No,
+    /// This gateway doesn't reach it, but may be cut off itself.
+    Unknown,
+}
+
 /// A replica of one service.
 #[derive(Debug)]
 pub(crate) struct Replica {
@@ -102,7 +117,7 @@
     draining: AtomicBool,
     observed: Mutex<Observations>,
     /// Time and result of the last reachability probe.
-    last_probe: tokio::sync::Mutex<Option<(Instant, bool)>>,
+    last_probe: tokio::sync::Mutex<Option<(Instant, Reached)>>,
     /// A check that the replica has not crashed is in progress.
     confirming: AtomicBool,
     service_load: Arc<ServiceLoad>,
@@ -194,31 +209,45 @@
         lock(&self.observed).rate_limit.record_response(rate, sent_at, now)
     }
 
-    /// Returns whether the replica has responded since `since` or accepts a
-    /// connection now, and when that was checked, in ms since its listing.
-    /// Concurrent callers share one probe.
-    pub(crate) async fn check_reachable(&self, since: Instant) -> (bool, u128) {
-        let (is_reachable, at) = self.probe(since).await;
-        (is_reachable, at.saturating_duration_since(self.listed_at).as_millis())
+    /// Returns whether the replica has responded since `since` or can be
+    /// connected to now, and when that was checked, in ms since its listing.
+    /// Concurrent callers share one attempt to `connect`.
+    pub(crate) async fn check_reachable(
+        &self,
+        since: Instant,
+        connect: impl Future<Output = Result<Connection, ConnectError>>,
+    ) -> (Reached, u128) {
+        let (reached, at) = self.probe(since, connect).await;
+        (reached, at.saturating_duration_since(self.listed_at).as_millis())
     }
 
-    async fn probe(&self, since: Instant) -> (bool, Instant) {
+    async fn probe(
+        &self,
+        since: Instant,
+        connect: impl Future<Output = Result<Connection, ConnectError>>,
+    ) -> (Reached, Instant) {
         let sent_before = since + RESPONSE_MARGIN;
         let has_responded =
             || lock(&self.observed).last_response.is_some_and(|at| at > sent_before);
         if has_responded() {
-            return (true, Instant::now());
+            return (Reached::Yes, Instant::now());
         }
         let mut last_probe = self.last_probe.lock().await;
         match *last_probe {
-            Some((at, was_reachable)) if at > since => (was_reachable, at),
+            Some((at, reached)) if at > since => (reached, at),
             _ => {
                 let at = Instant::now();
-                let connected = self.pool.connect().await;
-                let was_reachable = connected.is_ok() || has_responded();
-                connected.into_iter().for_each(|connection| self.pool.add_unused(connection));
-                *last_probe = Some((at, was_reachable));
-                (was_reachable, at)
+                let reached = match connect.await {
+                    Ok(connection) => {
+                        self.pool.add_unused(connection);
+                        Reached::Yes
+                    }
+                    Err(_) if has_responded() => Reached::Yes,
+                    Err(err) if err.is_uncertain => Reached::Unknown,
+                    Err(_) => Reached::No,
+                };
+                *last_probe = Some((at, reached));
+                (reached, at)
             }
         }
     }
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one replica.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use gg_route::{Deployment, ResponseMarks};
@@ -13,6 +13,7 @@
 use crate::{
     LimitChange, Reservation,
     admit::record_full,
+    connect::SILENCE_TIME,
     crash::CrashGuard,
     permit::log_limit_change,
     pool::Connection,
@@ -130,7 +131,7 @@
     let mut crash_guard = CrashGuard::new(state, job, &replica);
     let sent_at = Instant::now();
     let answered = {
-        let exchange = exchange(job, &replica, request, &mut crash_guard);
+        let exchange = exchange(state, job, &replica, request, &mut crash_guard);
         time::timeout_at(job.deadline, exchange).await
     };
     let (connection, response) = match answered {
@@ -144,7 +145,10 @@
         }
         Err(_) => {
             log::warn!("event=no_answer request={} replica={}", job.id(), replica.upstream.id.name);
-            record_full(state, job);
+            // A gateway that is cut off says nothing about the replicas' load.
+            if !state.connector.is_lost(&replica) {
+                record_full(state, job);
+            }
             return Err(Outcome::Unknown);
         }
     };
@@ -330,61 +334,109 @@
 /// Sends on an idle connection, or on a new one if the idle ones turn out to be
 /// closed before anything was sent.
 async fn exchange<D: Deployment>(
+    state: &Arc<State<D>>,
     job: &Job,
-    replica: &Replica,
+    replica: &Arc<Replica>,
     mut request: Request<Full<Bytes>>,
     crash_guard: &mut CrashGuard<D>,
 ) -> Result<(Connection, Response<Incoming>), Outcome> {
     for _ in 0..REUSE_ATTEMPTS_MAX {
-        let Some(mut connection) = replica.pool.take_idle() else { break };
-        crash_guard.record_sent(connection.opened);
-        let sent_at = Instant::now();
-        match connection.send(request).await {
-            Ok(response) => return Ok((connection, response)),
-            Err(mut err) => match err.take_message() {
-                Some(unsent) => request = unsent,
-                None => return Err(connection_lost(job, replica, "idle", sent_at, err.error())),
-            },
+        let Some(connection) = replica.pool.take_idle() else { break };
+        match send_on(state, job, replica, connection, "idle", request, crash_guard).await {
+            Err(SendError::Unsent(unsent)) => request = *unsent,
+            Err(SendError::Lost) => return Err(Outcome::Unknown),
+            Ok(answered) => return Ok(answered),
         }
     }
     let started_at = Instant::now();
-    let mut connection = match replica.pool.connect().await {
+    let connection = match state.connector.connect(&state.fleet, replica).await {
         Ok(connection) => connection,
         Err(err) => {
             log::warn!(
-                "event=connect_failed request={} replica={} ms={} error={err}",
+                "event=connect_failed request={} replica={} ms={} error={}",
                 job.id(),
                 replica.upstream.id.name,
-                started_at.elapsed().as_millis()
+                started_at.elapsed().as_millis(),
+                err.reason
             );
             return Err(Outcome::Unsent);
         }
     };
-    crash_guard.record_sent(connection.opened);
-    let sent_at = Instant::now();
-    match connection.send(request).await {
-        Ok(response) => Ok((connection, response)),
-        Err(mut err) => match err.take_message() {
-            Some(_) => Err(Outcome::Unsent),
-            None => Err(connection_lost(job, replica, "new", sent_at, err.error())),
-        },
+    match send_on(state, job, replica, connection, "new", request, crash_guard).await {
+        Err(SendError::Unsent(_)) => Err(Outcome::Unsent),
+        Err(SendError::Lost) => Err(Outcome::Unknown),
+        Ok(answered) => Ok(answered),
     }
 }
 
-/// Logs that a connection was lost after the request was sent on it. It was
-/// `connection`: idle in the pool before, or new.
-fn connection_lost(
+/// Why a connection carried no response.
+enum SendError {
+    /// Nothing of the request was sent.
+    Unsent(Box<Request<Full<Bytes>>>),
+    /// The connection was lost after that.
+    Lost,
+}
+
+/// Sends on a connection, which is `kind`: new, or idle in the pool before.
+async fn send_on<D: Deployment>(
+    state: &Arc<State<D>>,
     job: &Job,
-    replica: &Replica,
-    connection: &str,
-    sent_at: Instant,
-    err: &hyper::Error,
-) -> Outcome {
+    replica: &Arc<Replica>,
+    mut connection: Connection,
+    kind: &str,
+    request: Request<Full<Bytes>>,
+    crash_guard: &mut CrashGuard<D>,
+) -> Result<(Connection, Response<Incoming>), SendError> {
+    crash_guard.record_sent(connection.opened);
+    if let Some(tunnel) = &connection.tunnel {
+        log::info!(
+            "event=tunnelled request={} replica={} peer={} tunnel={}/{}",
+            job.id(),
+            replica.upstream.id.name,
+            tunnel.peer,
+            state.ledger.client(),
+            tunnel.number
+        );
+    }
+    let sent_at = Instant::now();
+    let is_direct = !connection.is_tunnel();
+    let sent = {
+        let mut sending = pin!(connection.send(request));
+        match time::timeout(SILENCE_TIME, &mut sending).await {
+            Ok(sent) => sent,
+            Err(_) => {
+                if is_direct && !state.connector.hears_replicas() {
+                    tokio::spawn(check_path(state.clone(), replica.clone(), sent_at));
+                }
+                sending.await
+            }
+        }
+    };
+    let mut err = match sent {
+        Ok(response) => {
+            if is_direct {
+                state.connector.record_response();
+            }
+            return Ok((connection, response));
+        }
+        Err(err) => err,
+    };
+    if let Some(unsent) = err.take_message() {
+        return Err(SendError::Unsent(Box::new(unsent)));
+    }
     log::warn!(
-        "event=send_broke request={} replica={} connection={connection} ms={} error={err}",
+        "event=send_broke request={} replica={} connection={kind} ms={} error={}",
         job.id(),
         replica.upstream.id.name,
-        sent_at.elapsed().as_millis()
+        sent_at.elapsed().as_millis(),
+        err.error()
     );
-    Outcome::Unknown
+    Err(SendError::Lost)
+}
+
+/// Checks whether this gateway still reaches a replica that has not responded
+/// since `since`.
+async fn check_path<D: Deployment>(state: Arc<State<D>>, replica: Arc<Replica>, since: Instant) {
+    let connect = state.connector.connect(&state.fleet, &replica);
+    replica.check_reachable(since.into_std(), connect).await;
 }
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -14,7 +14,7 @@
 use gg_protocol::Name;
 use gg_route::{Configuration, RouteTable};
 
-use crate::{BufferBudget, Fleet, Programs};
+use crate::{BufferBudget, Fleet, Programs, connect::Connector};
 
 /// Hedged requests as a share of responses. Above this share slow responses are
 /// a sign of overload, and more requests would add to it.
@@ -31,7 +31,8 @@
 pub(crate) struct State<D> {
     pub(crate) deployment: D,
     pub(crate) centre: Name,
-    pub(crate) fleet: Fleet,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) connector: Arc<Connector>,
     pub(crate) ledger: Ledger,
     pub(crate) metrics: Metrics,
     /// Budget for hedged requests, as a share of responses.
@@ -47,14 +48,21 @@
 }
 
 impl<D> State<D> {
-    pub(crate) fn new(deployment: D, centre: Name, ledger: Ledger, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        deployment: D,
+        centre: Name,
+        ledger: Ledger,
+        connector: Connector,
+        metrics: Metrics,
+    ) -> Self {
         State {
             metrics,
             hedges: Mutex::new(RetryBudget::new(HEDGE_SHARE, HEDGE_BURST)),
             deployment,
             centre,
             ledger,
-            fleet: Fleet::default(),
+            fleet: Arc::default(),
+            connector: Arc::new(connector),
             admissions: Mutex::default(),
             programs: Mutex::default(),
             buffer_budget: BufferBudget::default(),
@@ -104,6 +112,9 @@
             ("replica_load", load),
             ("held_bytes", self.buffer_budget.bytes() as u64),
             ("crash_facts", self.ledger.crashes().len() as u64),
+            ("paths_lost", self.connector.lost() as u64),
+            ("cut_off", u64::from(self.connector.is_cut_off())),
+            ("tunnels_carried", u64::from(self.connector.carried())),
             ("ledger_ready", u64::from(self.ledger.is_ready())),
             ("ready", u64::from(self.is_ready())),
         ] {
@@ -112,11 +123,14 @@
     }
 
     /// Whether this gateway should receive new connections. It should not while
-    /// turns can't be opened and closed, as another gateway may have a better
-    /// connection to the ledger.
+    /// turns can't be opened and closed or no replica can be reached, as another
+    /// gateway may have better connections.
     pub(crate) fn is_ready(&self) -> bool {
         let is_configured = self.table().is_some() && self.fleet.is_usable();
-        !self.is_stopping() && is_configured && self.ledger.is_ready()
+        !self.is_stopping()
+            && is_configured
+            && self.ledger.is_ready()
+            && !self.connector.is_isolated()
     }
 
     /// Whether a planned shutdown is in progress.
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     AgedFact, Layout, LedgerSet, LimitReport, LogEntry, LogFile, LogSettings, OverloadReport,
-    PartitionEntry, PermitIssuer, PermitReply, PermitRequest, PollingClients,
+    PartitionEntry, PermitIssuer, PermitReply, PermitRequest, PollingClients, TunnelOffer,
     crashes::log_fact,
     log_file::encode_entry,
     partition_store::{CRASHES_PARTITION, PartitionStore},
@@ -207,6 +207,22 @@
         (polling_clients.record(name.clone(), overload, now), polling_clients.overload(&name, now))
     }
 
+    /// Records whether a client that has just polled offers tunnels; returns
+    /// offers of others if it asks for them.
+    pub(crate) fn exchange_offers(
+        &self,
+        name: &str,
+        offer: Option<TunnelOffer>,
+        wants_peers: bool,
+    ) -> Vec<TunnelOffer> {
+        let mut polling_clients = lock(&self.shared.polling_clients);
+        polling_clients.record_offer(name, offer);
+        match wants_peers {
+            true => polling_clients.sample_offers(name, Instant::now(), &mut rand::rng()),
+            false => Vec::new(),
+        }
+    }
+
     /// Decides on a request for a send permit.
     pub(crate) fn issue_permit(&self, request: &PermitRequest) -> PermitReply {
         let share = issuer_share(self.store().layout(), &request.replica, self.disk());
--- a/crates/gg-ledger/src/poll.rs
+++ b/crates/gg-ledger/src/poll.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     AgedFact, CrashFact, CrashFacts, Ledger, LimitReport, OverloadReport, RequestFingerprint,
+    TunnelOffer,
     crashes::log_fact,
     link::{CrashCursor, Link, Scope},
     node::lock,
@@ -34,6 +35,17 @@
     pub overload: OverloadReport,
     /// Rate limits of some replicas' incarnations.
     pub limits: Vec<(Name, LimitReport)>,
+    /// Offers of tunnels, if they were asked for.
+    pub peers: Vec<TunnelOffer>,
+}
+
+/// What a client tells and asks of tunnels in a poll.
+#[derive(Clone, Debug, Default)]
+pub struct PollTunnels {
+    /// Its own offer, if it makes one.
+    pub offer: Option<TunnelOffer>,
+    /// Whether it asks for the offers of others.
+    pub wants_peers: bool,
 }
 
 impl Ledger {
@@ -45,7 +57,12 @@
     /// Polls two instances for directory updates since these revisions and
     /// reports this client's overload statistics to them. If possible, one is in
     /// this client's data centre and one in another.
-    pub async fn poll(&self, known: &[(Kind, u64)], overload: &OverloadReport) -> Vec<PollReply> {
+    pub async fn poll(
+        &self,
+        known: &[(Kind, u64)],
+        overload: &OverloadReport,
+        tunnels: &PollTunnels,
+    ) -> Vec<PollReply> {
         let calls = self.poll_targets().into_iter().map(async |link| {
             let (crashes, sent) = self.crash_updates(&link);
             let op = Op::Poll {
@@ -53,11 +70,20 @@
                 known: known.to_vec(),
                 overload: overload.clone(),
                 crashes,
+                offer: tunnels.offer.clone(),
+                wants_peers: tunnels.wants_peers,
             };
             match time::timeout(POLL_TIMEOUT, link.call(Scope::NO_PARTITION, op)).await {
-                Ok(Ok(ReplyBody::Poll { updates, polling_clients, overload, crashes, limits })) => {
+                Ok(Ok(ReplyBody::Poll {
+                    updates,
+                    polling_clients,
+                    overload,
+                    crashes,
+                    limits,
+                    peers,
+                })) => {
                     self.apply_crash_updates(&link, sent, &crashes);
-                    Some(PollReply { updates, clients: polling_clients, overload, limits })
+                    Some(PollReply { updates, clients: polling_clients, overload, limits, peers })
                 }
                 _ => None,
             }
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     AgedFact, Layout, LimitReport, LogEntry, OverloadReport, PermitReply, PermitRequest,
-    TurnRecord,
+    TunnelOffer, TurnRecord,
     index::{Chain, LastRun, TurnSpend},
 };
 
@@ -109,6 +109,10 @@
         overload: OverloadReport,
         /// Crash facts that the instance may not know.
         crashes: CrashUpdates,
+        /// The client's offer of tunnels, if it makes one.
+        offer: Option<TunnelOffer>,
+        /// Whether the client asks for the offers of others.
+        wants_peers: bool,
     },
     /// Returns the directory updates since these revisions to another instance.
     Mirror(Vec<(Kind, u64)>),
@@ -168,6 +172,8 @@
         crashes: CrashUpdates,
         /// Rate limits of some replicas' incarnations.
         limits: Vec<(Name, LimitReport)>,
+        /// Some offers of tunnels, if the client asked for them.
+        peers: Vec<TunnelOffer>,
     },
     /// Reply to [`Op::Mirror`].
     Mirror(Vec<MirrorUpdate>),
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -125,15 +125,16 @@
             send_reply(replies, id, ReplyBody::Fetched(chain)).await;
         }
         Op::Ping => send_reply(replies, id, ReplyBody::Pong).await,
-        Op::Poll { from, known, overload, crashes } => {
+        Op::Poll { from, known, overload, crashes, offer, wants_peers } => {
             let updates = node.mirror().updates(&known);
             let (polling_clients, overload) = node.record_poll(from.clone(), overload);
             let crashes = node.exchange_crashes(&from, crashes);
+            let peers = node.exchange_offers(&from, offer, wants_peers);
             let limits = node.sample_limits();
             send_reply(
                 replies,
                 id,
-                ReplyBody::Poll { updates, polling_clients, overload, crashes, limits },
+                ReplyBody::Poll { updates, polling_clients, overload, crashes, limits, peers },
             )
             .await;
         }
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -43,6 +43,9 @@
     pub clients: SocketAddr,
     /// Address on which the platform queries the readiness of the gateway.
     pub ready: SocketAddr,
+    /// Address on which connections of other gateways to replicas are carried, if
+    /// they are.
+    pub tunnels: Option<SocketAddr>,
     /// Maximum number of open client connections.
     pub connections: usize,
     /// Maximum time from SIGTERM to the exit of the process.
@@ -159,6 +162,7 @@
         centre,
         clients: section.required_address("clients"),
         ready: section.required_address("ready"),
+        tunnels: section.optional_address("tunnels"),
         connections: section.number("connections", 2_000, 1, 65_536),
         stop_timeout: Duration::from_secs_f64(section.number("grace_s", 8.0, 1.0, 600.0)),
         is_first_start: section.flag("founding", false),
--- a/crates/gg-settings/src/section.rs
+++ b/crates/gg-settings/src/section.rs
@@ -104,6 +104,12 @@
         })
     }
 
+    /// Returns an `ip:port` address, if the key is present.
+    pub(crate) fn optional_address(&self, key: &'static str) -> Option<std::net::SocketAddr> {
+        self.text(key)?;
+        Some(self.required_address(key))
+    }
+
     /// Returns the words of a comma-separated list.
     pub(crate) fn list(&self, key: &'static str) -> Vec<String> {
         let text = self.text(key).unwrap_or("");
