--- a/crates/gg-gateway/tests/reach.rs
+++ b/crates/gg-gateway/tests/reach.rs
@@ -108,15 +108,23 @@
             let replica = name(replica);
             match step {
                 0 => reach.record_failed(&replica, ConnectFailure::Silent),
-                1 => drop(reach.record_tunnel(&replica, REPLICAS, now)),
-                2 => drop(reach.record_tunnel_failed(&replica, false, REPLICAS, now)),
-                _ => drop(reach.record_connected(&replica, now)),
+                1 => {
+                    reach.record_tunnel(&replica, REPLICAS, now);
+                }
+                2 => {
+                    reach.record_tunnel_failed(&replica, false, REPLICAS, now);
+                }
+                _ => {
+                    reach.record_connected(&replica, now);
+                }
             }
         }
         let lost: Vec<Name> = reach.lost().cloned().collect();
         reach.record_connected("r-0", now);
         prop_assert!(!reach.is_cut_off() && !reach.is_isolated() && !reach.is_doubtful());
-        lost.iter().for_each(|replica| drop(reach.record_connected(replica, now)));
+        for replica in &lost {
+            reach.record_connected(replica, now);
+        }
         prop_assert!((0..REPLICAS).all(|replica| reach.path(&name(replica)) == Path::Direct));
     }
 }
