A refusal that names no request isn't believed on a connection in use again

Report of another operator: a replica wrote an earlier refusal once more on a kept connection; callers were told that a request had not run which had, or it ran twice.

Possible here: a refusal without a request id was taken for that of the request under way. With an id, a repeated refusal was known as another request's already; one before the next request closes the connection.

Change: on a connection that has carried a request before, a refusal counts only if it names its request; else the outcome is unknown, which is never a repeat of what may run once. A first refusal on a new connection is believed as before.

Second report (a head cut in the middle): not possible here. cut_head_is_no_success cuts after each byte, with a length, chunks or neither to come, calls and turns: no success.

--- a/crates/gg-gateway/src/pool.rs
+++ b/crates/gg-gateway/src/pool.rs
@@ -46,6 +46,8 @@
     pub(crate) opened: Instant,
     /// Set for a connection through another gateway.
     pub(crate) tunnel: Option<Tunnel>,
+    /// Whether it has carried a request before.
+    pub(crate) was_used: bool,
 }
 
 /// A tunnel through another gateway.
@@ -140,12 +142,13 @@
             }
             open.fetch_sub(1, Ordering::Relaxed);
         });
-        Ok(Connection { sender, opened, tunnel })
+        Ok(Connection { sender, opened, tunnel, was_used: false })
     }
 
     /// Returns a connection to the pool after its response was read completely.
-    pub(crate) fn release(&self, connection: Connection, headers: &HeaderMap) {
+    pub(crate) fn release(&self, mut connection: Connection, headers: &HeaderMap) {
         let Some(idle) = idle_timeout(headers) else { return };
+        connection.was_used = true;
         lock(&self.idle).push(Idle { connection, expires: Instant::now() + idle });
     }
 
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -170,7 +170,18 @@
         return Err(Outcome::Unknown);
     }
     let sent = Sent { response, marks, lease };
-    if marks.is_not_executed || sent.response.status() == http::StatusCode::MISDIRECTED_REQUEST {
+    if sent.marks.is_not_executed || sent.response.status() == http::StatusCode::MISDIRECTED_REQUEST
+    {
+        // On a connection in use again, it may be an earlier refusal that the
+        // replica has sent once more.
+        if sent.lease.connection.was_used && !sent.marks.matches_request {
+            log::warn!(
+                "event=unidentified_refusal request={} replica={}",
+                job.id(),
+                replica.upstream.id.name
+            );
+            return Err(Outcome::Unknown);
+        }
         return Err(handle_refusal(state, job, sent).await);
     }
     if !is_trusted(&sent) {
