Requests in flight at the end of a planned stop get a final answer

Report of another operator: in a planned stop, requests that came late in the grace time were passed on, and cut without an answer at its end.

Possible here where the grace time is shorter than deadlines: requests are accepted for 2.6 s after SIGTERM, until the platform sends no more, and the listener waited for those in flight until 0.6 s before the end, then the process exited. With 8 s as on the users' deployments and deadlines of 4 s all of them end in time.

Change: 0.3 s before the listener closes its connections, requests that still wait for their replica are answered 504, outcome unknown. Streams that have begun go on until the end.

--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -39,6 +39,10 @@
 /// checks readiness once a second and needs two failed checks.
 const NOT_READY_TIME: Duration = Duration::from_millis(2_600);
 
+/// Time before the end of the planned shutdown at which requests that still wait
+/// for their replica get a final answer.
+const LAST_CALL_TIME: Duration = Duration::from_millis(300);
+
 /// Time reserved between the last response and the end of the grace period.
 const STOP_MARGIN: Duration = Duration::from_millis(600);
 
@@ -99,6 +103,11 @@
     time::sleep(NOT_READY_TIME).await;
     listener_stop.cancel();
     carried.close();
+    let last_call = state.last_call.clone();
+    tokio::spawn(async move {
+        time::sleep(base.stop_timeout.saturating_sub(LAST_CALL_TIME)).await;
+        last_call.cancel();
+    });
     let (served, _) = tokio::join!(serving, time::timeout(base.stop_timeout, carried.wait()));
     if let Err(err) = served {
         log::error!("event=listener_failed error={err}");
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -93,14 +93,17 @@
         }
         Ok(job) => {
             let job = Arc::new(job);
-            let answered = match (crash::check(&state, &job), job.route.kind) {
-                (Err(failure), _) => Err(failure),
-                (Ok(()), RouteKind::Stream) => stream::run(&state, &job).await,
-                (Ok(()), _) => {
-                    call::run(&state, &job).await.map(|response| response.map(Either::Left))
+            let answering = async {
+                match (crash::check(&state, &job), job.route.kind) {
+                    (Err(failure), _) => Err(failure),
+                    (Ok(()), RouteKind::Stream) => stream::run(&state, &job).await,
+                    (Ok(()), _) => {
+                        call::run(&state, &job).await.map(|response| response.map(Either::Left))
+                    }
                 }
             };
-            log_result(&state, &job, answered)
+            let answered = state.last_call.run_until_cancelled(answering).await;
+            log_result(&state, &job, answered.unwrap_or_else(|| Err(stopped())))
         }
     };
     disconnect_log.is_answered = true;
@@ -113,6 +116,11 @@
     response
 }
 
+/// The final answer to a request that was in flight until the process exits.
+fn stopped() -> Failure {
+    Failure::unknown(Code::DeadlineExceeded, "the gateway stopped before the replica responded")
+}
+
 /// Whether clients retry after this status.
 fn is_refusal(status: StatusCode) -> bool {
     matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -13,6 +13,7 @@
 use gg_metrics::Metrics;
 use gg_protocol::Name;
 use gg_route::{Configuration, RouteTable};
+use tokio_util::sync::CancellationToken;
 
 use crate::{BufferBudget, Fleet, Programs, connect::Connector};
 
@@ -45,6 +46,9 @@
     pub(crate) buffer_budget: BufferBudget,
     table: RwLock<Option<Arc<RouteTable>>>,
     is_stopping: AtomicBool,
+    /// Cancelled when requests still in flight get their final answer, as the
+    /// process is about to exit.
+    pub(crate) last_call: CancellationToken,
 }
 
 impl<D> State<D> {
@@ -68,6 +72,7 @@
             buffer_budget: BufferBudget::default(),
             table: RwLock::default(),
             is_stopping: AtomicBool::new(false),
+            last_call: CancellationToken::new(),
         }
     }
 
--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -100,6 +100,11 @@
 
 impl Processes {
     pub async fn start(gateways: usize, replicas: usize) -> Self {
+        Processes::start_with_grace(gateways, replicas, 8).await
+    }
+
+    /// Like [`Processes::start`], with gateways that stop within `grace_s` seconds.
+    pub async fn start_with_grace(gateways: usize, replicas: usize, grace_s: u32) -> Self {
         let stop = CancellationToken::new();
         let store = FakeStore::start(stop.clone()).await;
         let mut listed = Vec::new();
@@ -129,8 +134,9 @@
                     clients.push(free_address());
                     format!(
                         "[instance]\nname = gateway-{number}\ndata_centre = a\n[gateway]\n\
-                         clients = {}\nready = {}\n",
+                         clients = {}\nready = {}\ntunnels = {}\ngrace_s = {grace_s}\n",
                         clients[number - LEDGERS],
+                        free_address(),
                         free_address()
                     )
                 }
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -10,10 +10,11 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use processes::{LEDGERS, Processes};
-use support::deployment::eventually;
+use support::{Behaviour, deployment::eventually};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -26,8 +27,8 @@
 const REQUESTS_PER_CONNECTION: usize = 6;
 
 /// Last bytes of a complete response: the final chunk of a stream, or the end of
-/// a body with a content length.
-const RESPONSE_ENDS: [&str; 2] = ["0\r\n\r\n", "/x"];
+/// a replica's or a gateway's body with a content length.
+const RESPONSE_ENDS: [&str; 3] = ["0\r\n\r\n", "/x", "}}"];
 
 /// Sends one request and reads the response; returns `false` if the connection
 /// ends before the response is complete.
@@ -88,3 +89,41 @@
     assert!(incomplete.is_empty(), "requests without a complete response: {incomplete:?}");
     assert!(runs.len() > before + 100, "connections in use were not served during the stop");
 }
+
+/// Stop timeout that leaves some requests less time than their deadline.
+const SHORT_GRACE_S: u32 = 5;
+
+/// Pause between the clients of a stop that is slow.
+const CLIENT_PAUSE: Duration = Duration::from_millis(120);
+
+/// Requests that come at any moment of a stop, on connections in use before, and
+/// take up to longer than what is left of it: each that reaches a replica gets a
+/// complete answer, and no later one is accepted.
+#[tokio::test]
+async fn stop_answers_slow_requests() {
+    let processes = Processes::start_with_grace(1, 1, SHORT_GRACE_S).await;
+    let (replica, address) = (&processes.replicas[0], processes.clients[0]);
+    let answered = Arc::new(Mutex::new(HashSet::new()));
+    let probe = run_client(address, usize::MAX, answered.clone());
+    let probe = tokio::spawn(probe);
+    eventually("requests reach the replica", || async { !replica.runs().is_empty() }).await;
+    probe.abort();
+    answered.lock().expect("lock").extend(replica.runs().into_iter().map(|run| run.id));
+    let mut clients = Vec::new();
+    for client in 0..usize::try_from(SHORT_GRACE_S * 8).expect("a small number") {
+        // As long as the longest deadline, and shorter.
+        replica.set_behaviour(Behaviour::Slow([300, 1_500, 3_700][client % 3]));
+        clients.push(tokio::spawn(run_client(address, client, answered.clone())));
+        tokio::time::sleep(CLIENT_PAUSE).await;
+        if client == 8 {
+            processes.servers[LEDGERS].signal(libc::SIGTERM);
+        }
+    }
+    for client in clients {
+        client.await.expect("client task completes");
+    }
+    let answered = answered.lock().expect("lock");
+    let runs = replica.runs();
+    let incomplete: Vec<_> = runs.iter().filter(|run| !answered.contains(&run.id)).collect();
+    assert!(incomplete.is_empty(), "requests without a complete response: {incomplete:?}");
+}
