--- a/crates/gg-gateway/src/connect.rs
+++ b/crates/gg-gateway/src/connect.rs
@@ -13,17 +13,11 @@
 };
 
 use futures::future::join_all;
-use gg_http::connect_socket;
 use gg_ledger::{PollTunnels, TunnelOffer};
 use gg_metrics::Metrics;
 use gg_protocol::Name;
 use rand::seq::IteratorRandom;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::Notify,
-    time,
-};
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tokio::{sync::Notify, time};
 
 use crate::{
     ConnectFailure, Path, PathChange, Reachability, TunnelPeers,
@@ -31,7 +25,7 @@
     pool::{Connection, Tunnel},
     replica::Replica,
     state::lock,
-    tunnel::{self, TunnelReply, TunnelRequest},
+    tunnel::{self, TUNNEL_TIMEOUT, TUNNELS_MAX, TunnelReply, TunnelRequest},
 };
 
 /// Timeout of a direct connection; replicas are a few ms away.
@@ -42,19 +36,12 @@
 /// nothing.
 const FALLBACK_DELAY: Duration = Duration::from_millis(150);
 
-/// Time for a peer to connect to the replica. It is shorter than the time that
-/// its origin waits, so that the origin learns the result.
-const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Time for a peer to open a tunnel.
-const TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout of a connection that shows whether a lost path is back.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Peers that are asked for one tunnel.
 const TUNNEL_ATTEMPTS: usize = 3;
 
-/// Tunnels that this gateway carries for others at most.
-const TUNNELS_MAX: u32 = 256;
-
 /// Peers are listed again after this time, so that some are known when a cut
 /// begins.
 const PEERS_TTL: Duration = Duration::from_secs(10);
@@ -91,7 +78,7 @@
     centre: Name,
     /// Where tunnels of other gateways are accepted.
     listen: Option<SocketAddr>,
-    reach: Mutex<Reachability>,
+    pub(crate) reach: Mutex<Reachability>,
     peers: Mutex<TunnelPeers>,
     /// Notified when peers are to be listed without delay.
     peers_wanted: Notify,
@@ -103,8 +90,8 @@
     /// When a replica last responded on a direct connection.
     last_response: Mutex<Option<Instant>>,
     tunnels_opened: AtomicU64,
-    tunnels_carried: AtomicU32,
-    metrics: Metrics,
+    pub(crate) tunnels_carried: AtomicU32,
+    pub(crate) metrics: Metrics,
 }
 
 impl Connector {
@@ -426,7 +413,7 @@
             let is_cut_off = self.is_cut_off();
             let probed = self.draw(fleet, |replica| is_cut_off || self.is_lost(replica));
             join_all(probed.iter().map(async |replica| {
-                let direct = self.connect_directly(fleet, replica, PEER_CONNECT_TIMEOUT).await;
+                let direct = self.connect_directly(fleet, replica, PROBE_TIMEOUT).await;
                 direct.into_iter().for_each(|connection| replica.pool.add_unused(connection));
             }))
             .await;
@@ -455,92 +442,8 @@
         replicas.filter(|replica| filter(replica)).choose_multiple(&mut rand::rng(), PROBES)
     }
 
-    /// Accepts tunnels of other gateways until it is dropped. Tunnels run as
-    /// `tasks`; their origins are told when `stopping` is cancelled.
-    pub(crate) async fn serve_tunnels(
-        self: Arc<Self>,
-        fleet: Arc<Fleet>,
-        listener: TcpListener,
-        stopping: CancellationToken,
-        tasks: TaskTracker,
-    ) {
-        loop {
-            // Peers that are stopping still reply, so that origins ask others.
-            match listener.accept().await {
-                Ok((socket, _)) => {
-                    let (connector, fleet) = (self.clone(), fleet.clone());
-                    let stopping = stopping.clone();
-                    tasks.spawn(async move {
-                        if let Err(err) = connector.serve_tunnel(&fleet, socket, stopping).await {
-                            log::debug!("event=tunnel_failed error={err}");
-                        }
-                    });
-                }
-                Err(err) => {
-                    log::warn!("event=accept_failed error={err}");
-                    time::sleep(PROBE_INTERVAL).await;
-                }
-            }
-        }
-    }
-
-    async fn serve_tunnel(
-        &self,
-        fleet: &Fleet,
-        mut socket: TcpStream,
-        stopping: CancellationToken,
-    ) -> io::Result<()> {
-        gg_http::configure_socket(&socket)?;
-        let reading = tunnel::read_message(&mut socket);
-        let request: TunnelRequest = time::timeout(TUNNEL_TIMEOUT, reading).await??;
-        let (reply, replica) = self.accept_tunnel(fleet, &request, &stopping).await;
-        log::info!(
-            "event=tunnel_accepted tunnel={}/{} replica={} result={}",
-            request.origin,
-            request.number,
-            request.replica,
-            reply.as_str()
-        );
-        self.metrics.count("tunnels_accepted", &[("result", reply.as_str())]);
-        tunnel::write_message(&mut socket, &reply).await?;
-        let Some((_carried, replica)) = replica else { return Ok(()) };
-        tunnel::carry(socket, replica, stopping).await;
-        Ok(())
-    }
-
-    /// Decides on a request for a tunnel, and connects to its replica.
-    async fn accept_tunnel<'a>(
-        &'a self,
-        fleet: &Fleet,
-        request: &TunnelRequest,
-        stopping: &CancellationToken,
-    ) -> (TunnelReply, Option<(CarriedTunnel<'a>, TcpStream)>) {
-        if stopping.is_cancelled() {
-            return (TunnelReply::Stopping, None);
-        }
-        let replica = fleet.replica(&request.replica);
-        let replica = replica.filter(|known| known.upstream.id.started_ms == request.started_ms);
-        let Some(replica) = replica else { return (TunnelReply::Unknown, None) };
-        if self.is_lost(&replica) {
-            return (TunnelReply::Doubtful, None);
-        }
-        let carried = CarriedTunnel::new(&self.tunnels_carried);
-        if self.carried() > TUNNELS_MAX {
-            return (TunnelReply::Busy, None);
-        }
-        let connected = connect_socket(replica.upstream.address, PEER_CONNECT_TIMEOUT).await;
-        self.record_direct(fleet, &replica, connected.as_ref().err());
-        match connected {
-            Ok(socket) => {
-                (TunnelReply::Opened { tunnels: self.carried() }, Some((carried, socket)))
-            }
-            Err(_) if lock(&self.reach).is_doubtful() => (TunnelReply::Doubtful, None),
-            Err(_) => (TunnelReply::Unreachable, None),
-        }
-    }
-
     /// Records the result of a direct connection attempt.
-    fn record_direct(&self, fleet: &Fleet, replica: &Replica, err: Option<&io::Error>) {
+    pub(crate) fn record_direct(&self, fleet: &Fleet, replica: &Replica, err: Option<&io::Error>) {
         let name = &replica.upstream.id.name;
         match err.map(io::Error::kind) {
             None => {
@@ -560,20 +463,3 @@
         }
     }
 }
-
-/// Counts a tunnel that this gateway carries.
-#[derive(Debug)]
-struct CarriedTunnel<'a>(&'a AtomicU32);
-
-impl<'a> CarriedTunnel<'a> {
-    fn new(count: &'a AtomicU32) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        CarriedTunnel(count)
-    }
-}
-
-impl Drop for CarriedTunnel<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod admit;
 mod buffer_budget;
 mod call;
+mod carry;
 mod choice;
 mod connect;
 mod crash;
--- a/crates/gg-gateway/src/tunnel.rs
+++ b/crates/gg-gateway/src/tunnel.rs
@@ -17,6 +17,7 @@
         atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -37,6 +38,12 @@
     sync::CancellationToken,
 };
 
+/// Tunnels that a gateway carries at most.
+pub(crate) const TUNNELS_MAX: u32 = 256;
+
+/// Time for a peer to open a tunnel.
+pub(crate) const TUNNEL_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Largest request or reply, in bytes.
 const MESSAGE_MAX_BYTES: usize = 1 << 10;
 
