gg-http: what ends a silent connection

The comment said that the number of keepalive probes does. On Linux TCP_USER_TIMEOUT, which is set here, decides instead; both come to 3 s with these values. No change of behaviour.

--- a/crates/gg-http/src/socket.rs
+++ b/crates/gg-http/src/socket.rs
@@ -9,13 +9,15 @@
 };
 
 /// Idle time before the first TCP keepalive probe, and the interval between probes.
-/// A silent connection fails after [`KEEPALIVE_PROBES`] further intervals.
 pub(crate) const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Number of unanswered keepalive probes after which a connection fails.
+/// Number of unanswered keepalive probes after which a silent connection fails,
+/// on systems without [`TCP_USER_TIMEOUT`].
 pub(crate) const KEEPALIVE_PROBES: u32 = 2;
 
-/// Maximum time for which sent bytes may stay unacknowledged.
+/// Maximum time for which sent bytes may stay unacknowledged. On Linux it also
+/// ends a silent connection once a keepalive probe is unanswered, whatever the
+/// number of probes.
 pub(crate) const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Sets socket options so that a silent connection fails within a few seconds.
