A gateway that hears replicas isn't isolated

Cause: three replicas that nobody reached in a row made a gateway isolated, although others responded to it on open connections: peers that had lost as many could not vouch that these were down.

Change: it is isolated only while no replica responds.

--- a/crates/gg-gateway/src/connect.rs
+++ b/crates/gg-gateway/src/connect.rs
@@ -118,9 +118,11 @@
         }
     }
 
-    /// Whether no replica can be reached, neither directly nor through peers.
+    /// Whether no replica can be reached, neither directly nor through peers. It
+    /// is not so while replicas respond on open connections: then those that were
+    /// tried are down.
     pub(crate) fn is_isolated(&self) -> bool {
-        lock(&self.reach).is_isolated()
+        lock(&self.reach).is_isolated() && !self.hears_replicas()
     }
 
     /// Whether the gateway is cut off from all replicas.
