LOST: refusals of turns say which instances were full, failed or silent

Callers were refused with "too few members answered" whether the ledger instances were full, had failed or were silent, so the logs could not tell the hypotheses of the incident apart; how full an instance is showed only once it was full. A gateway now logs open_short with these counts, an instance counts opens_refused and shows its bound beside its bytes (content_bytes_max). No decision changes.

--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -141,6 +141,7 @@
                 metrics.gauge("turns", turns as u64, &[]);
                 metrics.gauge("programs", programs as u64, &[]);
                 metrics.gauge("content_bytes", node.memory_bytes() as u64, &[]);
+                metrics.gauge("content_bytes_max", node.memory_limit() as u64, &[]);
             }
         };
         tokio::spawn(serve_metrics(listen(address)?, registry, refresh, stop.child_token()));
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -285,6 +285,7 @@
         let mut others = Some(others);
         let mut answered = Vec::new();
         let mut reservation = Reservation::default();
+        let (mut full, mut failed) = (0, 0);
         loop {
             let has_quorum = view.has_quorum(&answered);
             if has_quorum && (request.previous.is_none() || reservation.chain.is_some()) {
@@ -297,8 +298,9 @@
                     reservation.chain = reservation.chain.or(chain);
                     reservation.upstream = reservation.upstream.or(upstream);
                 }
-                // The other members may have memory left.
-                Ok(Some((_, Ok(ReplyBody::Full) | Err(_)))) => {}
+                // The other members may have room left.
+                Ok(Some((_, Ok(ReplyBody::Full)))) => full += 1,
+                Ok(Some((_, Err(_)))) => failed += 1,
                 Ok(Some((disk, Ok(other)))) => {
                     return Err(self.handle_refusal(disk, other));
                 }
@@ -312,10 +314,19 @@
                 },
             }
         }
-        match view.has_quorum(&answered) {
-            true => Ok(reservation),
-            false => Err(LedgerError::Unavailable("too few members answered")),
+        if view.has_quorum(&answered) {
+            return Ok(reservation);
         }
+        log::info!(
+            "event=open_short request={} partition={} epoch={} opened={} full={full} \
+             failed={failed} unanswered={}",
+            request.key.turn,
+            view.scope.partition,
+            view.scope.epoch,
+            answered.len(),
+            calls.len()
+        );
+        Err(LedgerError::Unavailable("too few members answered"))
     }
 
     /// Whether any of the preferred members reports in time that a program has
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -187,6 +187,15 @@
         is_full
     }
 
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
+    /// Memory limit of turns and accounts in bytes.
+    pub fn memory_limit(&self) -> usize {
+        self.shared.memory_limit
+    }
+
     pub(crate) fn store(&self) -> MutexGuard<'_, PartitionStore> {
         lock(&self.shared.store)
     }
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -89,7 +89,10 @@
         return;
     }
     match request.op {
-        Op::Open { .. } if node.is_full() => send_reply(replies, id, ReplyBody::Full).await,
+        Op::Open { .. } if node.is_full() => {
+            node.metrics().count("opens_refused", &[("reason", "full")]);
+            send_reply(replies, id, ReplyBody::Full).await;
+        }
         Op::Open { turn, reserve, keep_ms, branch, chain } => {
             let upstream = last_run(node, partition, &reserve, branch);
             let open_call = OpenCall { turn, reserve, keep_ms, chain };
