--- /dev/null
+++ b/crates/gg-ledger/tests/support/mod.rs
@@ -0,0 +1,92 @@
+//! Ledger instances in the test process, and a client of them.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use gg_ledger::{
+    Layout, Ledger, LedgerSet, Member, Node, NodeSettings, OpenRequest, TurnKey, TurnRecord,
+};
+use gg_metrics::{Metrics, Registry};
+use tempfile::TempDir;
+use tokio::time::{self, Instant};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+/// Timeout for events that must occur. Nothing is asserted about how long they
+/// take.
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Three instances with their disks. Dropping them keeps the disks until the
+/// deployment is dropped.
+pub struct Deployment {
+    pub ledger: Ledger,
+    _stop: DropGuard,
+}
+
+/// Disks of the instances.
+pub struct Disks(pub Vec<TempDir>);
+
+impl Disks {
+    pub fn new() -> Self {
+        Disks((0..3).map(|_| TempDir::new().expect("folder")).collect())
+    }
+
+    /// Starts an instance on each disk and a client that is connected to all.
+    pub async fn start(&self, memory_limit: usize) -> Deployment {
+        let stop = CancellationToken::new();
+        let mut nodes = Vec::new();
+        let mut members = Vec::new();
+        for (number, disk) in self.0.iter().enumerate() {
+            let listen = free_address();
+            let settings = settings(listen, disk.path(), memory_limit);
+            let metrics = Metrics::new(&Registry::default());
+            let node = Node::start(settings, metrics, stop.clone()).await.expect("a node");
+            let instance = format!("ledger-{number}").into();
+            let centre = format!("centre-{number}").into();
+            members.push(Member { instance, disk: node.disk(), address: listen, centre });
+            nodes.push(node);
+        }
+        let set = LedgerSet { epoch: 1, tolerated: 1, members, next: None };
+        let layout = Layout { partitions: vec![set] };
+        nodes.iter().for_each(|node| node.set_layout(layout.clone()));
+        let ledger = Ledger::new("client".into(), "centre-0".into(), stop.clone());
+        ledger.set_layout(layout);
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        while ledger.connected() < 3 {
+            assert!(Instant::now() < deadline, "the members are not connected");
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        Deployment { ledger, _stop: stop.drop_guard() }
+    }
+}
+
+fn settings(listen: SocketAddr, folder: &Path, memory_limit: usize) -> NodeSettings {
+    NodeSettings { listen, folder: folder.into(), checkpoint_bytes: 1 << 20, memory_limit }
+}
+
+fn free_address() -> SocketAddr {
+    gg_fakes::free_address().parse().expect("an address")
+}
+
+pub fn key(program: &str, turn: &str) -> TurnKey {
+    TurnKey { turn: turn.into(), program: Some(program.into()) }
+}
+
+/// A turn that continues `previous` in a program with a budget.
+pub fn request(program: &str, turn: &str, previous: Option<&str>) -> OpenRequest {
+    OpenRequest {
+        key: key(program, turn),
+        previous: previous.map(Into::into),
+        budget: Some((1_000_000, 10)),
+        branch: None,
+        keep_ms: None,
+    }
+}
+
+pub fn record(turn: &str, previous: Option<&str>, text: String) -> TurnRecord {
+    TurnRecord {
+        turn: turn.into(),
+        previous: previous.map(Into::into),
+        text: text.into(),
+        upstream: "replica".into(),
+        keep_ms: 60_000,
+    }
+}
