--- a/crates/gg-ledger/src/pull.rs
+++ b/crates/gg-ledger/src/pull.rs
@@ -89,7 +89,7 @@
 pub(crate) struct PullSource {
     partition: u16,
     turns: vec::IntoIter<Name>,
-    others: Option<Vec<(LogEntry, LogTime)>>,
+    others: vec::IntoIter<(LogEntry, LogTime)>,
 }
 
 impl PullSource {
@@ -99,23 +99,26 @@
         let index = store.index(partition);
         let mut others = index.account_entries();
         others.extend(index.retention_entry().map(|entry| (entry, node.now())));
-        PullSource { partition, turns: index.turn_names().into_iter(), others: Some(others) }
+        PullSource { partition, turns: index.turn_names().into_iter(), others: others.into_iter() }
     }
 
     /// The next part of the copy; `None` at its end.
     pub(crate) async fn next_chunk(&mut self, node: &Node) -> io::Result<Option<ReplyBody>> {
         let turns = self.next_turns(node);
-        if turns.is_empty() {
-            return Ok(self.others.take().map(|others| chunk(node, others)));
+        // Turns fill a chunk; the last one has room for other entries.
+        let room = if self.turns.len() == 0 { CHUNK_BYTES / ENTRY_BYTES } else { 0 };
+        let others: Vec<_> = self.others.by_ref().take(room).collect();
+        if turns.is_empty() && others.is_empty() {
+            return Ok(None);
         }
         let (turns, texts): (Vec<_>, Vec<_>) =
             turns.into_iter().map(|(record, text, used)| ((record, used), text)).unzip();
         let texts = node.read_texts(texts).await?;
-        let entries = turns
+        let turns = turns
             .into_iter()
             .zip(texts)
             .map(|((record, used), text)| (LogEntry::Turn(TurnRecord { text, ..record }), used));
-        Ok(Some(chunk(node, entries.collect())))
+        Ok(Some(chunk(node, turns.chain(others).collect())))
     }
 
     /// Turns of about [`CHUNK_BYTES`]. Those that have expired meanwhile are
--- a/crates/gg-ledger/tests/support/mod.rs
+++ b/crates/gg-ledger/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Ledger instances in the test process, and a client of them.
+#![allow(dead_code, reason = "each test file uses a part")]
 
-#![allow(dead_code, reason = "each test uses a part")]
+pub mod recorded;
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
@@ -61,6 +62,38 @@
     }
 }
 
+/// An instance, and a client that is connected to it.
+pub struct Single {
+    pub ledger: Ledger,
+    pub node: Node,
+    pub address: SocketAddr,
+    _stop: DropGuard,
+}
+
+/// Starts an instance of the recorded layout.
+pub async fn start_single(settings: NodeSettings) -> Single {
+    let stop = CancellationToken::new();
+    let address = settings.listen;
+    let metrics = Metrics::new(&Registry::default());
+    let node = Node::start(settings, metrics, stop.clone()).await.expect("a node");
+    // The recorded replies hold this address.
+    node.set_layout(recorded::layout(([127, 0, 0, 1], 7_354).into()));
+    let ledger = connect(address, &stop).await;
+    Single { ledger, node, address, _stop: stop.drop_guard() }
+}
+
+/// A client of the recorded layout's only member.
+pub async fn connect(address: SocketAddr, stop: &CancellationToken) -> Ledger {
+    let ledger = Ledger::new("gateway-1".into(), "centre-0".into(), stop.clone());
+    ledger.set_layout(recorded::layout(address));
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while ledger.connected() == 0 {
+        assert!(Instant::now() < deadline, "the instance is not connected");
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    ledger
+}
+
 /// Settings of an instance whose log is at least 1 MiB large before segments are
 /// removed.
 pub fn settings(listen: SocketAddr, folder: &Path, memory_bytes: usize) -> NodeSettings {
