--- a/crates/gg-ledger/tests/formats.rs
+++ b/crates/gg-ledger/tests/formats.rs
@@ -38,6 +38,9 @@
 /// More segments than an instance keeps.
 const SEGMENTS: usize = 70;
 
+/// Position of a kind of message that no version has.
+const UNKNOWN_KIND: u8 = 100;
+
 type Connection = Framed<TcpStream, LengthDelimitedCodec>;
 
 fn framed(socket: TcpStream) -> Connection {
@@ -401,3 +404,70 @@
     let unknown: Vec<Request> = unknown.lock().expect("not poisoned").clone();
     assert_eq!(unknown, [], "requests that 735404d did not send");
 }
+
+/// 735404d ignores what follows a message or an entry, so fields are added there.
+#[test]
+fn trailing_fields() {
+    for name in ["gateway-1", "gateway-2", "instance", "full"] {
+        for request in recorded::requests(name) {
+            let longer = [&request[..], &[UNKNOWN_KIND; 3]].concat();
+            let decoded: Request = postcard::from_bytes(&longer).expect("a request");
+            assert_eq!(decoded, postcard::from_bytes(&request).expect("a request"));
+        }
+        for reply in recorded::replies(name) {
+            let longer = [&reply[..], &[UNKNOWN_KIND; 3]].concat();
+            assert_eq!(decode_reply(&longer), decode_reply(&reply));
+        }
+    }
+    let disk = recorded::disk();
+    for (_, segment) in recorded::segments(disk.path()) {
+        for content in contents(&segment) {
+            let longer = [content, &[UNKNOWN_KIND; 3]].concat();
+            assert_eq!(decode_entry(&longer), decode_entry(content));
+        }
+    }
+}
+
+/// An unknown operation costs its connection and no other.
+#[tokio::test]
+async fn unknown_operation() {
+    let disk = recorded::disk();
+    let single = start(disk.path()).await;
+    let mut sound = dial(&single).await;
+    let mut connection = dial(&single).await;
+    let request = (1_u64, 0_u16, 0_u64, recorded::DISK, UNKNOWN_KIND);
+    let request = postcard::to_allocvec(&request).expect("encoded");
+    connection.send(Bytes::from(request)).await.expect("sent");
+    let closed = time::timeout(WAIT_TIMEOUT, connection.next()).await.expect("closed in time");
+    assert!(closed.is_none(), "{closed:?}");
+    assert_replies("gateway-1", &replay(&mut sound, "gateway-1").await);
+}
+
+/// An unknown reply costs the connection; the client connects again.
+#[tokio::test]
+async fn unknown_reply() {
+    let stop = CancellationToken::new();
+    let _stop = stop.clone().drop_guard();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback port");
+    let address = listener.local_addr().expect("bound address");
+    tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
+        let (socket, _) = listener.accept().await.expect("accepted");
+        let mut connection = framed(socket);
+        let pong = postcard::to_allocvec(&(0_u64, Body::Pong)).expect("encoded");
+        connection.next().await.expect("a ping").expect("a frame");
+        connection.send(Bytes::from(pong)).await.expect("sent");
+        let call = connection.next().await.expect("a call").expect("a frame");
+        let reply = postcard::to_allocvec(&(id(&call), UNKNOWN_KIND)).expect("encoded");
+        connection.send(Bytes::from(reply)).await.expect("sent");
+        assert!(connection.next().await.is_none(), "the client closes the connection");
+        serve_recorded(listener, Arc::default()).await;
+    }));
+    let ledger = connect(address, &stop).await;
+    let program = program_in(0).as_str().into();
+    assert!(!ledger.has_account(&program, deadline()).await);
+    let deadline = deadline();
+    while !ledger.has_account(&program, deadline).await {
+        assert!(Instant::now() < deadline, "no reply on a new connection");
+        time::sleep(Duration::from_millis(10)).await;
+    }
+}
