LOST: a turn that is moved in the log isn't listed as recent again

Each removal of a segment added the turns that it moved to the list of recent texts once more, although their texts were not in memory: a list that grows with each pass over a chain that stays in use. Found by reading; the index now says whether a place is the first one (texts_are_unloaded checks it).

--- a/crates/gg-ledger/src/index.rs
+++ b/crates/gg-ledger/src/index.rs
@@ -268,17 +268,18 @@
         }
     }
 
-    /// Records where an applied turn stands in the log. Its text stays in memory
-    /// until [`Index::unload`]. Returns whether the turn is known.
+    /// Records where an applied turn stands in the log. Returns whether this is
+    /// its first place. Its text then stays in memory until [`Index::unload`].
     pub fn set_location(&mut self, turn: &str, location: Location) -> bool {
         let Some(stored) = self.turns.get_mut(turn) else { return false };
         let before = stored.text.log_bytes();
-        stored.text = match &stored.text {
-            Text::Unwritten(text) => Text::Written(location, Some(text.clone())),
-            Text::Written(_, text) => Text::Written(location, text.clone()),
+        let (is_first, text) = match &mut stored.text {
+            Text::Unwritten(text) => (true, Some(std::mem::take(text))),
+            Text::Written(_, text) => (false, text.take()),
         };
+        stored.text = Text::Written(location, text);
         self.turn_log_bytes = self.turn_log_bytes - before + stored.text.log_bytes();
-        true
+        is_first
     }
 
     /// Removes the text of a turn from memory if it is in the log.
--- a/crates/gg-ledger/tests/index.rs
+++ b/crates/gg-ledger/tests/index.rs
@@ -182,8 +182,9 @@
     let (mut index, location) = (Index::default(), Location { segment: 1, offset: 5, bytes: 200 });
     index.apply(turn("a", None, "a"), START);
     index.apply(turn("b", Some("a"), "b"), START);
-    assert!(index.set_location("a", location));
-    assert!(!index.set_location("x", location));
+    assert!(index.set_location("a", Location { segment: 0, ..location }));
+    assert!(!index.set_location("a", location), "the turn was moved");
+    assert!(!index.set_location("x", location), "an unknown turn");
     assert_eq!(text(&mut index, "b", START), "ab");
     ["a", "b"].into_iter().for_each(|turn| index.unload(turn));
     let chain = index.chain(&"b".into(), START);
