MEMORY: kept pieces of a response hold no read buffers

What operators would see: a gateway over its memory limit and killed, with `held_bytes` far below its bound, while replicas stream in small events. All its streams break off at once.

Cause: a turn's events are kept until its end to record it, and the pieces of a call's response until it is whole. Each kept piece was a reference into the read buffer of its connection, so hyper allocated another 8 KB for the next read: an event of 30 bytes held 8 KB. The budget of 16 MB counts text, so it was no bound of memory: worked out, 2,000 events held are 16 MB of memory and 60 KB counted.

Evidence: `response_memory` counts what the process allocates while a turn and a call of 400 events pass. Before: "/turn/x: 8360 bytes an event"; with the turn mended alone, "/call/x: 8164 bytes an event". It passes below 1 KB now.

Change: pieces are copied into blocks of 4 KB. Each byte is copied once more than before for calls of several pieces; turns were copied at their end anyway.

Runs: gg-gateway's tests and, of gg-adapter, turns, resume, broken_answers, calls, response_memory, crashes and whole_prompts.

--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod ingress;
 mod instance;
 mod permit;
+mod pieces;
 mod place;
 mod pool;
 mod prefix_cache;
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! Relays a replica's events as they arrive. The client's stream ends only
 //! after the turn is stored on enough disks.
 
-use std::{sync::Arc, time::Duration};
+use std::{mem, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, stream};
@@ -17,6 +17,7 @@
 use crate::{
     EventCount, EventSplitter, Repeated, Reservation,
     admit::{record_delay, record_event_interval},
+    pieces::Pieces,
     proxy::Job,
     resume::Resume,
     send::{Lease, Sent},
@@ -96,7 +97,7 @@
 
     /// Reports the spent tokens of the turn to the ledger, once.
     fn settle(&mut self) {
-        if !std::mem::replace(&mut self.is_settled, true) {
+        if !mem::replace(&mut self.is_settled, true) {
             let run = self.last_run();
             self.state.ledger.settle(&self.job.turn_key(), self.tokens(), run);
         }
@@ -144,7 +145,7 @@
     /// Splits a resumable stream, of which only complete events are relayed.
     splitter: EventSplitter,
     /// All relayed pieces, on routes that record turns.
-    relayed: Vec<Bytes>,
+    relayed: Pieces,
     reservation: Reservation,
     started_at: Instant,
     /// History recorded with another program, which is recorded again with this
@@ -173,7 +174,7 @@
             headers: head.headers,
             resume,
             splitter: EventSplitter::default(),
-            relayed: Vec::new(),
+            relayed: Pieces::default(),
             started_at,
             foreign_history,
             first_event: None,
@@ -313,7 +314,7 @@
             if !self.reservation.grow(data.len()) || self.reservation.reserved() > TURN_MAX_BYTES {
                 return Err(RelayError::TooLong);
             }
-            self.relayed.push(data.clone());
+            self.relayed.push(data);
         }
         self.settlement.events = events;
         Ok(())
@@ -337,7 +338,7 @@
         let record = TurnRecord {
             turn: job.id().clone(),
             previous,
-            text: turn_text(&input, &self.relayed.concat()),
+            text: turn_text(&input, &mem::take(&mut self.relayed).join()),
             upstream: self.upstream.clone(),
             keep_ms: job.route.retention.as_millis(),
         };
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -16,6 +16,7 @@
     connect::SILENCE_TIME,
     crash::CrashGuard,
     permit::log_limit_change,
+    pieces::Pieces,
     pool::Connection,
     proxy::Job,
     replica::{Placement, Replica},
@@ -291,9 +292,7 @@
     reservation: &mut Reservation,
     max: usize,
 ) -> Result<Bytes, BodyError> {
-    // Pieces are joined at the end: a growing buffer takes up to three times
-    // the memory of its content.
-    let mut pieces = Vec::new();
+    let mut pieces = Pieces::default();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
         if reservation.reserved() + data.len() > max {
@@ -302,12 +301,9 @@
         if !reservation.grow(data.len()) {
             return Err(BodyError::OverBudget);
         }
-        pieces.push(data);
-    }
-    match pieces.len() {
-        1 => Ok(pieces.swap_remove(0)),
-        _ => Ok(pieces.concat().into()),
+        pieces.push(&data);
     }
+    Ok(pieces.join())
 }
 
 fn build_request<D: Deployment>(
