PROGRAMS: long programs in progress stay known to a gateway

What callers would see: a turn of a program that has run for long, and carries its whole prompt, refused as new work under overload, while programs that have just begun continue. The ledger is asked before such a refusal, so it takes a ledger that doesn't reply in time as well; without that it is one more call a turn.

Cause: a gateway tracks 8,192 programs and dropped half of them when full, those that began first, however recent their last turn. Ended programs were dropped only that way. Worked out for 340 gateways and 900 turns/s: full after 52 minutes or more, with at most 160 programs that had a turn within the minute that counts.

Change: when full, programs that are no longer in progress are dropped, and only if none is, the half whose last turns are the longest ago.

--- a/crates/gg-gateway/src/programs.rs
+++ b/crates/gg-gateway/src/programs.rs
@@ -5,8 +5,7 @@
 use gg_protocol::Name;
 use indexmap::IndexMap;
 
-/// Maximum number of programs tracked; the oldest entries are dropped first. An
-/// entry takes some 80 bytes.
+/// Maximum number of programs tracked. An entry takes some 80 bytes.
 const PROGRAMS_MAX: usize = 8_192;
 
 /// A program with no turn at this gateway for this long is forgotten here; the
@@ -22,18 +21,29 @@
 impl Programs {
     /// Records that a turn of `program` was admitted.
     pub fn record(&mut self, program: &Name, now: Instant) {
-        // Entries stay in the order of their insertion, so the first ones have
-        // mostly ended.
         if self.seen.len() >= PROGRAMS_MAX && !self.seen.contains_key(program) {
-            let half = PROGRAMS_MAX / 2;
-            self.seen.drain(..half);
+            self.evict(now);
         }
         self.seen.insert(program.clone(), now);
     }
 
+    /// Drops the programs that are no longer in progress. If all are, drops the half
+    /// with the least recent turns.
+    fn evict(&mut self, now: Instant) {
+        self.seen.retain(|_, at| is_recent(*at, now));
+        if self.seen.len() >= PROGRAMS_MAX {
+            self.seen.sort_by(|_, at, _, other| at.cmp(other));
+            self.seen.drain(..PROGRAMS_MAX / 2);
+        }
+    }
+
     /// Whether `program` is in progress.
     pub fn is_active(&self, program: &str, now: Instant) -> bool {
-        let seen = self.seen.get(program);
-        seen.is_some_and(|at| now.saturating_duration_since(*at) < PROGRAM_EXPIRY)
+        self.seen.get(program).is_some_and(|at| is_recent(*at, now))
     }
 }
+
+/// Whether a program is in progress whose last turn was admitted at `at`.
+fn is_recent(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < PROGRAM_EXPIRY
+}
