--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 
 use crate::{
+    call::refusal,
     fleet::Service,
     place::{no_permit, permit_wait, untried},
     proxy::Job,
@@ -47,7 +48,9 @@
     if is_continuation {
         return Ok(());
     }
-    let checked = check_permits(state, job).and_then(|()| check_capacity(state, job));
+    let checked = check_buffers(state, job)
+        .and_then(|()| check_permits(state, job))
+        .and_then(|()| check_capacity(state, job));
     let Err(refusal) = checked else { return Ok(()) };
     // Earlier turns of the program may have been handled by other gateways.
     if let Some(program) = &turn.program
@@ -69,6 +72,17 @@
     }
 }
 
+/// Refuses new work while buffered responses take most of their memory budget: the rest
+/// is left to work that was admitted before.
+fn check_buffers<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
+    if state.buffer_budget.has_room() {
+        return Ok(());
+    }
+    let held = state.buffer_budget.bytes();
+    log::info!("event=refused_buffers request={} held_bytes={held}", job.id());
+    Err(refusal("the memory for responses is used up"))
+}
+
 /// Refuses new work while all replicas announce rate limits and no permit is due
 /// soon: the permits that are due are left to work that was admitted before.
 fn check_permits<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -63,11 +63,15 @@
             from()
             display("{err}")
         }
-        /// The stream is longer than the turn allows, or the memory budget for
-        /// buffered responses is used up. The turn is not recorded.
+        /// The stream is longer than the turn allows. The turn is not recorded.
         TooLong {
             display("the stream is longer than the turn allows")
         }
+        /// The stream is one of the largest while the memory budget for buffered
+        /// responses is used up. The turn is not recorded.
+        OverBudget {
+            display("the memory budget for buffered responses is used up")
+        }
         /// The deadline passed.
         DeadlineExceeded {
             display("the deadline passed")
@@ -311,9 +315,13 @@
             return Err(RelayError::TooLong);
         }
         if self.settlement.job.route.stores_turns {
-            if !self.reservation.grow(data.len()) || self.reservation.reserved() > TURN_MAX_BYTES {
+            let has_room = self.reservation.grow(data.len());
+            if self.reservation.reserved() > TURN_MAX_BYTES {
                 return Err(RelayError::TooLong);
             }
+            if !has_room {
+                return Err(RelayError::OverBudget);
+            }
             self.relayed.push(data);
         }
         self.settlement.events = events;
@@ -365,6 +373,7 @@
             Some(RelayError::Repeated(_)) => "repeated",
             Some(RelayError::DeadlineExceeded) => "late",
             Some(RelayError::TooLong) => "endless",
+            Some(RelayError::OverBudget) => "over_budget",
             Some(RelayError::NotRecorded(_)) => "unkept",
         };
         let metrics = &self.settlement.state.metrics;
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -271,10 +271,10 @@
     let (head, body) = sent.response.into_parts();
     let mut reservation = state.buffer_budget.reservation();
     let reading = collect(body, &mut reservation, RESPONSE_MAX_BYTES);
-    let err = match time::timeout_at(job.deadline, reading).await {
+    let (err, is_fault) = match time::timeout_at(job.deadline, reading).await {
         Ok(Ok(whole)) => return Ok((head.headers, whole, sent.lease)),
-        Ok(Err(err)) => err.to_string(),
-        Err(_) => "the response did not end before the deadline".to_owned(),
+        Ok(Err(err)) => (err.to_string(), !matches!(err, BodyError::OverBudget)),
+        Err(_) => ("the response did not end before the deadline".to_owned(), true),
     };
     log::warn!(
         "event=answer_broke request={} replica={} bytes={} error={err}",
@@ -282,7 +282,9 @@
         sent.lease.replica().upstream.id.name,
         reservation.reserved()
     );
-    sent.lease.replica().mark_suspect(FAILED_SUSPECT_TIME);
+    if is_fault {
+        sent.lease.replica().mark_suspect(FAILED_SUSPECT_TIME);
+    }
     Err(Outcome::Unknown)
 }
 
