CRASHES: a completed request costs the same however many crashes are known

What callers would see: requests that wait at all gateways after a loss of many replicas, while each request that ran on one completes elsewhere. Requests check the crash facts before they are sent, under the lock that is held for each new fact.

Cause: a fact that clears another one was compared with all known facts, up to 16,384, and then the table of crashed replicas was built anew. All gateways and ledger instances learn every fact, so a loss cost the square of the requests that were in flight, everywhere.

Change: the cleared crashes are looked up, and only their replicas are updated. Which facts clear which is unchanged, as are messages and logs.

--- a/crates/gg-ledger/src/crashes.rs
+++ b/crates/gg-ledger/src/crashes.rs
@@ -110,21 +110,6 @@
             | CrashFact::Refused { fingerprint } => Some(*fingerprint),
         }
     }
-
-    /// Whether this kind of fact can clear crashes.
-    fn is_clearing(&self) -> bool {
-        matches!(self, CrashFact::Replied { .. } | CrashFact::Completed { .. })
-    }
-
-    /// Whether this fact clears `other`, provided that it is more recent.
-    fn clears(&self, other: &CrashFact) -> bool {
-        let CrashFact::Crashed { fingerprint: known, start: crashed } = other else { return false };
-        match self {
-            CrashFact::Replied { start } => start == crashed,
-            CrashFact::Completed { fingerprint } => fingerprint == known,
-            CrashFact::Crashed { .. } | CrashFact::Refused { .. } => false,
-        }
-    }
 }
 
 /// A fact with its age, for transfer to a process with another clock.
@@ -169,24 +154,20 @@
             CrashFact::Refused { .. } => REFUSED_RENEWAL_AGE,
             _ => RENEWAL_MIN_AGE,
         };
-        let clears = |(known, stamp): (&CrashFact, &Stamp)| stamp.at <= at && fact.clears(known);
         let is_known = self.facts.get(fact).is_some_and(|known| at <= known.at + renewal);
-        if is_known && !(fact.is_clearing() && self.facts.iter().any(clears)) {
+        let cleared = self.cleared_by(fact, at);
+        if is_known && cleared.is_empty() {
             return false;
         }
         if self.is_cleared(fact, at) {
             return false;
         }
         self.last_serial += 1;
-        match fact {
-            CrashFact::Crashed { fingerprint, start } => {
-                record_start(&mut self.starts, *fingerprint, start, at);
-            }
-            CrashFact::Replied { .. } | CrashFact::Completed { .. } => {
-                self.facts.retain(|known, stamp| stamp.at > at || !fact.clears(known));
-                self.rebuild_starts();
-            }
-            CrashFact::Refused { .. } => {}
+        if let CrashFact::Crashed { fingerprint, start } = fact {
+            record_start(&mut self.starts, *fingerprint, start, at);
+        }
+        for (fingerprint, start) in cleared {
+            self.remove_crash(fingerprint, start);
         }
         self.facts.insert(fact.clone(), Stamp { at, serial: self.last_serial });
         if self.facts.len() > FACTS_MAX {
@@ -205,6 +186,45 @@
         clearing.iter().filter_map(|fact| self.facts.get(fact)).any(|stamp| stamp.at > at)
     }
 
+    /// Crashes that a fact observed at `at` clears.
+    fn cleared_by(&self, fact: &CrashFact, at: Instant) -> Vec<(RequestFingerprint, Name)> {
+        let crashes: Vec<_> = match fact {
+            CrashFact::Replied { start } => {
+                let ran = self.starts.get(start).into_iter().flat_map(|known| &known.fingerprints);
+                ran.map(|fingerprint| (*fingerprint, start.clone())).collect()
+            }
+            CrashFact::Completed { fingerprint } => {
+                let matching = self.matching_crashes(*fingerprint);
+                let own = matching.filter(|(known, _)| known == fingerprint);
+                own.map(|(known, start)| (known, start.clone())).collect()
+            }
+            CrashFact::Crashed { .. } | CrashFact::Refused { .. } => Vec::new(),
+        };
+        let is_older = |(fingerprint, start): &(RequestFingerprint, Name)| {
+            self.crashed_at(*fingerprint, start).is_some_and(|crashed| crashed <= at)
+        };
+        crashes.into_iter().filter(is_older).collect()
+    }
+
+    /// When an incarnation was last observed as crashed by a fingerprint.
+    fn crashed_at(&self, fingerprint: RequestFingerprint, start: &Name) -> Option<Instant> {
+        let fact = CrashFact::Crashed { fingerprint, start: start.clone() };
+        self.facts.get(&fact).map(|stamp| stamp.at)
+    }
+
+    /// Removes a crash, and its incarnation if it was the only one of it.
+    fn remove_crash(&mut self, fingerprint: RequestFingerprint, start: Name) {
+        self.facts.remove(&CrashFact::Crashed { fingerprint, start: start.clone() });
+        let Some(crashed) = self.starts.get_mut(&start) else { return };
+        crashed.fingerprints.remove(&fingerprint);
+        let remaining: Vec<_> = crashed.fingerprints.iter().copied().collect();
+        let last = remaining.iter().filter_map(|known| self.crashed_at(*known, &start)).max();
+        match (last, self.starts.get_mut(&start)) {
+            (Some(last), Some(crashed)) => crashed.at = last,
+            _ => drop(self.starts.remove(&start)),
+        }
+    }
+
     fn rebuild_starts(&mut self) {
         self.starts.clear();
         for (fact, stamp) in &self.facts {
--- a/crates/gg-ledger/tests/crashes.rs
+++ b/crates/gg-ledger/tests/crashes.rs
@@ -45,6 +45,24 @@
     assert!(crashes.has_head(7) && !crashes.has_head(6) && !crashes.has_head(8));
 }
 
+/// A replica counts as crashed, at the time that the remaining requests tell, until all
+/// requests that ran on it have completed.
+#[test]
+fn start_is_crashed_until_all_complete() {
+    let now = Instant::now();
+    let at = |s| now + Duration::from_secs(s);
+    let mut crashes = CrashFacts::default();
+    crashes.learn(&crashed(1, 1), Duration::ZERO, at(0));
+    crashes.learn(&crashed(2, 1), Duration::ZERO, at(10));
+    assert!(!crashes.has_crashed("r/1", at(5)) && crashes.has_crashed("r/1", at(11)));
+    let completed = |head| CrashFact::Completed { fingerprint: fingerprint(head) };
+    crashes.learn(&completed(2), Duration::ZERO, at(20));
+    assert!(crashes.has_crashed("r/1", at(5)));
+    assert_eq!((crashes.count(fingerprint(1)), crashes.count(fingerprint(2))), (1, 0));
+    crashes.learn(&completed(1), Duration::ZERO, at(20));
+    assert!(!crashes.has_crashed("r/1", at(30)));
+}
+
 /// Crashes caused by one caller don't affect another one; those caused by
 /// several callers affect all.
 #[test]
