Directory: an entry that can't be read leaves the others readable

Cause: a list, and the response to a watch, was parsed as one JSON text. Bytes that are no UTF-8, a control character or a number such as Infinity in one entry made the whole response invalid, so each follower recorded an outage, listed again, and failed again. An entry whose spec nests deeper than the parser allows kept the spec but lost the time of its start, and so became another incarnation. An entry with an odd revision was dropped, so its former content stayed in use.

Ruled out: an end of the process by recursion; skipped values and serde_json::Value are both bounded.

An entry with a name whose content can't be read is passed on with the body UNREADABLE_BODY (JSON null, which no reader accepts), so that readers learn of it; one without a name is logged and left out.

--- a/crates/gg-platform/src/directory.rs
+++ b/crates/gg-platform/src/directory.rs
@@ -33,6 +33,9 @@
     }
 }
 
+/// Body of an entry whose content can't be read.
+pub const UNREADABLE_BODY: Bytes = Bytes::from_static(b"null");
+
 /// A directory entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -40,7 +43,7 @@
     pub name: String,
     /// Revision of the last change to the entry.
     pub revision: u64,
-    /// Content as JSON text.
+    /// Content as JSON text, or [`UNREADABLE_BODY`].
     pub body: Bytes,
 }
 
--- a/crates/gg-platform/src/lib.rs
+++ b/crates/gg-platform/src/lib.rs
@@ -13,7 +13,7 @@
 mod types;
 
 pub use client::{Platform, PlatformSettings};
-pub use directory::{Change, Directory, Entry, Kind, Snapshot, Watched};
+pub use directory::{Change, Directory, Entry, Kind, Snapshot, UNREADABLE_BODY, Watched};
 pub use error::PlatformError;
 pub use follow::{DirectoryUpdate, FollowSettings, follow, follow_unless_fresh};
 pub use freshness::{FRESH_TIME, Freshness};
