Directory: an entry that turns odd names no replica and replaces no layout

A gateway that starts while the configuration can't be read is never ready, although the other processes know the last readable one. A layout with an epoch or a number of tolerated losses of 2^64-1 makes ledger instances and gateways fail in read_quorum ("attempt to add with overflow", in the test profile).

Cause: each reader decoded entries on its own and skipped a change that it could not decode, so the former content stayed. Ledger instances passed the unreadable entry on in place of the one in force. A layout was taken if its fields had the right types.

Change: EntryFilter checks each update once where it enters, in gateways and in ledger instances before they pass it on. A replica or registration that can't be read counts as removed; a configuration or layout leaves the last readable one in place. A process that knows no readable content accepts it from a ledger instance, at whatever revision.

--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use gg_ledger::{LAYOUT_NAME, Registration};
+use gg_ledger::{EntryFilter, LAYOUT_NAME, Registration};
 use gg_platform::{
     Change, DirectoryUpdate, Entry, FRESH_TIME, FollowSettings, Freshness, Kind, MirrorUpdate,
     Outages, follow_unless_fresh,
@@ -63,6 +63,7 @@
     /// Revision of the entries in use.
     revision: Mutex<u64>,
     freshness: Mutex<Freshness>,
+    filter: Mutex<EntryFilter>,
     outages: &'a Outages,
     is_directory_lost: AtomicBool,
 }
@@ -83,6 +84,7 @@
         kind,
         revision: Mutex::default(),
         freshness: Mutex::default(),
+        filter: Mutex::new(EntryFilter::new(kind)),
         outages: &outages,
         is_directory_lost: AtomicBool::new(false),
     });
@@ -179,7 +181,8 @@
         self.apply(update);
     }
 
-    /// Applies an update unless a newer one was already applied.
+    /// Applies an update unless a newer one was already applied. Entries that
+    /// can't be read are filtered out and logged.
     fn apply(&self, update: DirectoryUpdate) {
         if let DirectoryUpdate::Snapshot(revision, _) | DirectoryUpdate::Changes(revision, _) =
             &update
@@ -194,6 +197,15 @@
             }
             *known = *revision;
         }
+        let update = {
+            let mut filter = lock(&self.filter);
+            let update = filter.apply(&self.state.deployment, update);
+            if filter.is_incomplete() {
+                // A ledger instance may know an older revision with the content.
+                *lock(&self.revision) = 0;
+            }
+            update
+        };
         match self.kind {
             Kind::Configuration => apply_configuration(self.state, update),
             Kind::Upstreams => apply_upstreams(self.state, update),
@@ -205,21 +217,14 @@
 
 fn apply_configuration<D: Deployment>(state: &State<D>, update: DirectoryUpdate) {
     for entry in present_entries(update) {
-        match state.deployment.configuration(&entry) {
-            Ok(configuration) => state.configure(configuration),
-            Err(err) => log::warn!("event=configuration_unreadable error={err}"),
+        if let Ok(configuration) = state.deployment.configuration(&entry) {
+            state.configure(configuration);
         }
     }
 }
 
 fn apply_upstreams<D: Deployment>(state: &State<D>, update: DirectoryUpdate) {
-    let read = |entry: &Entry| match state.deployment.upstream(entry) {
-        Ok(upstream) => Some(upstream),
-        Err(err) => {
-            log::debug!("event=replica_unreadable error={err}");
-            None
-        }
-    };
+    let read = |entry: &Entry| state.deployment.upstream(entry).ok();
     match update {
         DirectoryUpdate::Snapshot(_, entries) => {
             state.fleet.replace(entries.iter().filter_map(read).collect());
@@ -244,9 +249,8 @@
     let (layouts, instances): (Vec<Entry>, Vec<Entry>) =
         present_entries(update).into_iter().partition(|entry| entry.name == LAYOUT_NAME);
     for entry in layouts {
-        match serde_json::from_slice(&entry.body) {
-            Ok(layout) => state.ledger.set_layout(layout),
-            Err(err) => log::error!("event=layout_unreadable error={err}"),
+        if let Ok(layout) = serde_json::from_slice(&entry.body) {
+            state.ledger.set_layout(layout);
         }
     }
     let read = |entry: &Entry| serde_json::from_slice::<Registration>(&entry.body).ok();
--- a/crates/gg-ledger/src/layout_controller.rs
+++ b/crates/gg-ledger/src/layout_controller.rs
@@ -267,6 +267,13 @@
                 log::warn!("event=directory_lost kind={} error={err}", source.kind.as_str());
             }
         }
+        let (update, is_incomplete) = {
+            let mut filter = lock(&source.filter);
+            (filter.apply(&self.directory, update), filter.is_incomplete())
+        };
+        if is_incomplete {
+            source.reset();
+        }
         self.node.mirror().apply(source.kind, &update);
         match source.kind {
             Kind::Ledgers => self.apply_ledgers(update),
@@ -298,22 +305,17 @@
         }
     }
 
+    /// Applies an entry. The source's filter has logged those that can't be read.
     fn apply_entry(&self, state: &mut DirectoryState, entry: &Entry) {
         if entry.name == LAYOUT_NAME {
-            match serde_json::from_slice::<Layout>(&entry.body) {
-                Ok(layout) => {
-                    self.node.set_layout(layout.clone());
-                    state.layout = Some((entry.revision, layout));
-                }
-                Err(err) => log::error!("event=layout_unreadable error={err}"),
+            if let Ok(layout) = serde_json::from_slice::<Layout>(&entry.body) {
+                self.node.set_layout(layout.clone());
+                state.layout = Some((entry.revision, layout));
             }
             return;
         }
-        match serde_json::from_slice::<Registration>(&entry.body) {
-            Ok(registration) => {
-                state.registered.insert(entry.name.as_str().into(), registration);
-            }
-            Err(err) => log::warn!("event=registration_unreadable name={} error={err}", entry.name),
+        if let Ok(registration) = serde_json::from_slice::<Registration>(&entry.body) {
+            state.registered.insert(entry.name.as_str().into(), registration);
         }
     }
 
--- a/crates/gg-ledger/src/sources.rs
+++ b/crates/gg-ledger/src/sources.rs
@@ -7,7 +7,7 @@
 use gg_platform::{Freshness, Kind};
 use gg_protocol::Name;
 
-use crate::node::lock;
+use crate::{EntryFilter, node::lock};
 
 /// Kinds that an instance receives updates of.
 pub(crate) const KINDS: [Kind; 4] =
@@ -31,12 +31,14 @@
     pub(crate) kind: Kind,
     /// Whether other instances supply current updates.
     pub(crate) freshness: Mutex<Freshness>,
+    pub(crate) filter: Mutex<EntryFilter>,
     revision: Mutex<u64>,
 }
 
 impl Source {
     pub(crate) fn new(kind: Kind) -> Self {
-        Source { kind, freshness: Mutex::default(), revision: Mutex::default() }
+        let filter = Mutex::new(EntryFilter::new(kind));
+        Source { kind, freshness: Mutex::default(), filter, revision: Mutex::default() }
     }
 
     /// Latest known revision.
@@ -53,6 +55,12 @@
         is_newer
     }
 
+    /// Accepts updates of any revision again, because the known entries are
+    /// incomplete.
+    pub(crate) fn reset(&self) {
+        *lock(&self.revision) = 0;
+    }
+
     /// Records whether another instance is up to date.
     pub(crate) fn record_freshness(&self, is_current: bool) {
         lock(&self.freshness).record(is_current, Instant::now());
