Ledger: an instance whose registration can't be read registers again

An instance whose registration another writer made unreadable fails each of its reconciliations (layout_change_failed), so it no longer watches the members or takes part in changes of the layout.

Cause: an unreadable registration counts as absent, so the instance created it anew, which the store refuses as the entry exists.

Change: if the entry exists, it is replaced at the revision that the refusal names.

Evidence: odd_entries. Without the change registration_turns_odd fails ("timed out waiting: the instance registers again").

--- a/crates/gg-ledger/src/layout_controller.rs
+++ b/crates/gg-ledger/src/layout_controller.rs
@@ -419,7 +419,16 @@
         let registration = Registration { member: member.clone(), since_ms };
         let body = to_body(&registration);
         let expected = self.revision_of(&member.instance, registered).await?;
-        self.directory.write(Kind::Ledgers, &member.instance, body, expected).await?;
+        let write = |expected| {
+            self.directory.write(Kind::Ledgers, &member.instance, body.clone(), expected)
+        };
+        match write(expected).await {
+            // The entry exists, but it can't be read.
+            Err(PlatformError::Conflict(found @ Some(_))) if expected.is_none() => {
+                write(found).await?
+            }
+            written => written?,
+        };
         log::info!("event=ledger_registered disk={}", member.disk);
         let mut state = self.state();
         state.registered.insert(member.instance.clone(), registration);
