LOST: chains with gaps, budgets, refused turns and damage after texts went to disk

A turn that a stored one continues is never denied; a member says if it lacks a part (trailing field), and the next turn is then stored with the whole history, as for a chain of another program. - The retention of accounts was forgotten with the segment that held it, so a spent budget was granted again after a restart. Each segment now begins with epochs and retentions. Test: retention_survives_removal. The target is at least twice what the last pass kept. Test: removal_ends. The damaged entry's own length is tried first, and nothing is cut off if the search is given up. Test: damaged_binary_text. - A turn that ran longer than 15 s across a restart lost the mark that kept the turn it continues; nothing expires in the first minute after a start. - A chain whose turn names itself has an end; room for two segments is left on the disk; at most one line a second says who is refused.

--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -154,7 +154,7 @@
     started_at: Instant,
     /// History recorded with another program, which is recorded again with this
     /// turn.
-    foreign_history: Option<Bytes>,
+    whole_history: Option<Bytes>,
     /// When the first event arrived.
     first_event: Option<Instant>,
     has_ended: bool,
@@ -165,7 +165,7 @@
         settlement: Settlement<D>,
         sent: Sent<D>,
         started_at: Instant,
-        foreign_history: Option<Bytes>,
+        whole_history: Option<Bytes>,
         resume: Option<Resume>,
     ) -> Self {
         let (head, events) = sent.response.into_parts();
@@ -180,7 +180,7 @@
             splitter: EventSplitter::default(),
             relayed: Pieces::default(),
             started_at,
-            foreign_history,
+            whole_history,
             first_event: None,
             has_ended: false,
         }
@@ -339,7 +339,7 @@
             self.settlement.settle();
             return Ok(());
         }
-        let (previous, input) = match &self.foreign_history {
+        let (previous, input) = match &self.whole_history {
             None => (job.envelope.turn.previous.clone(), job.body.clone()),
             Some(history) => (None, [history.as_ref(), &job.body].concat().into()),
         };
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -75,10 +75,10 @@
         }
         let mut headers = sent.response.headers().clone();
         strip_hop_headers(&mut headers);
-        let foreign_history = opened.is_foreign.then(|| opened.history.clone());
+        let whole_history = opened.needs_history.then(|| opened.history.clone());
         let resume =
             job.route.is_resumable.then(|| Resume { prompt: body, opened, attempts, tried });
-        let stream = relay(Relay::new(settlement, sent, started_at, foreign_history, resume));
+        let stream = relay(Relay::new(settlement, sent, started_at, whole_history, resume));
         let mut response = Response::new(Either::Right(StreamBody::new(stream)));
         *response.headers_mut() = headers;
         return Ok(response);
--- a/crates/gg-ledger/src/capacity.rs
+++ b/crates/gg-ledger/src/capacity.rs
@@ -10,6 +10,10 @@
 /// twice as much.
 const NEEDED_PERCENT: u64 = 45;
 
+/// Room that is left for the segment that is appended to, and for what is written
+/// again of the oldest one before that is removed.
+const SEGMENTS_ROOM_BYTES: u64 = 48 << 20;
+
 /// Bytes that may wait for the disk.
 const BACKLOG_BYTES: u64 = 8 << 20;
 
@@ -70,6 +74,12 @@
         }
     }
 
+    /// Whether so much waits for the disk that turns that ended aren't queued
+    /// either. Other members hold them.
+    pub fn is_stuck(&self, backlog: u64) -> bool {
+        backlog > 2 * BACKLOG_BYTES
+    }
+
     /// Bytes that the log may take before its oldest segment is removed.
     pub fn log_bytes(&self, needed: u64) -> u64 {
         let min = self.log_bytes_min.min(self.needed_bytes());
@@ -82,6 +92,7 @@
     }
 
     fn needed_bytes(&self) -> u64 {
-        self.disk_bytes / 100 * NEEDED_PERCENT
+        let room = SEGMENTS_ROOM_BYTES.min(self.disk_bytes / 4);
+        (self.disk_bytes - room) / 100 * NEEDED_PERCENT
     }
 }
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -94,9 +94,10 @@
     pub history: Bytes,
     /// Replica that ran the previous turn.
     pub upstream: Option<Name>,
-    /// The chain, or the beginning of it, belongs to another program. A turn
-    /// that continues it must store the whole history itself.
-    pub is_foreign: bool,
+    /// A turn that continues the chain must store the whole history itself: the
+    /// chain, or the beginning of it, belongs to another program, or a member
+    /// lacks a part of it.
+    pub needs_history: bool,
 }
 
 /// Result of reserving tokens on a quorum of members.
@@ -109,6 +110,8 @@
     /// Replica that ran the branch's last turn, as reported by the first member
     /// that knows one.
     upstream: Option<Name>,
+    /// Whether any member lacks a part of the chain.
+    has_gap: bool,
 }
 
 /// Ledger client.
@@ -237,7 +240,8 @@
         view: &PartitionView,
         request: &OpenRequest,
     ) -> Result<OpenedTurn, LedgerError> {
-        let Reservation { max_spent, chain, upstream } = self.reserve(view, request).await?;
+        let Reservation { max_spent, chain, upstream, has_gap } =
+            self.reserve(view, request).await?;
         if let (Some(program), Some((budget, tokens))) = (&request.key.program, request.budget) {
             let tokens = u64::from(tokens);
             // Each member may have missed turns that another one knows.
@@ -261,7 +265,10 @@
         }
         match &request.previous {
             None => Ok(OpenedTurn { upstream, ..OpenedTurn::default() }),
-            Some(previous) => self.history(view, previous, chain).await,
+            Some(previous) => {
+                let opened = self.history(view, previous, chain).await?;
+                Ok(OpenedTurn { needs_history: opened.needs_history || has_gap, ..opened })
+            }
         }
     }
 
@@ -299,11 +306,12 @@
                 break;
             }
             match time::timeout(FALLBACK_DELAY, calls.next()).await {
-                Ok(Some((disk, Ok(ReplyBody::Opened { others, chain, upstream })))) => {
+                Ok(Some((disk, Ok(ReplyBody::Opened { others, chain, upstream, has_gap })))) => {
                     answered.push(disk);
                     reservation.max_spent = others.max(reservation.max_spent);
                     reservation.chain = reservation.chain.or(chain);
                     reservation.upstream = reservation.upstream.or(upstream);
+                    reservation.has_gap |= has_gap;
                 }
                 // The other members may have room left.
                 Ok(Some((disk, Ok(ReplyBody::Full)))) => full.push(disk),
@@ -406,16 +414,24 @@
         let mut upstream = found.as_ref().and_then(|chain| chain.upstream.clone());
         let mut missing = Some(previous.clone());
         let mut parts = Vec::new();
+        let mut needs_history = false;
         let mut is_foreign = false;
         if let Some(chain) = found {
             missing = chain.missing;
             parts.push(chain.text);
         }
         while let Some(turn) = missing.take() {
-            let chain = match self.fetch(view, &turn).await {
+            // A turn that a stored one continues was stored.
+            let is_certain = turn != *previous;
+            needs_history |= is_certain;
+            let fetched = match is_foreign {
+                true => Err(LedgerError::NoSuchTurn),
+                false => self.fetch(view, &turn, is_certain).await,
+            };
+            let chain = match fetched {
                 Err(LedgerError::NoSuchTurn) => {
                     is_foreign = true;
-                    self.find(&turn).await?
+                    self.find(&turn, is_certain).await?
                 }
                 fetched => fetched?,
             };
@@ -431,20 +447,29 @@
                 joined.freeze()
             }
         };
-        Ok(OpenedTurn { history, upstream, is_foreign })
+        Ok(OpenedTurn { history, upstream, needs_history: needs_history || is_foreign })
     }
 
-    /// Reads a chain from any member that knows its last turn.
-    async fn fetch(&self, view: &PartitionView, turn: &Name) -> Result<Chain, LedgerError> {
+    /// Reads a chain from any member that knows its last turn. If it is certain
+    /// that the turn was stored, no denial is conclusive: those members may lack
+    /// it.
+    async fn fetch(
+        &self,
+        view: &PartitionView,
+        turn: &Name,
+        is_certain: bool,
+    ) -> Result<Chain, LedgerError> {
         let calls = view.links.iter().filter(|link| link.is_up()).map(async |link| {
             let reply = link.call(view.scope, Op::Fetch(turn.clone())).await;
             (link.member.disk, reply)
         });
-        self.first_chain(calls, turn, |not_found| view.set.has_read_quorum(not_found)).await
+        let is_conclusive = |not_found: &[u64]| !is_certain && view.set.has_read_quorum(not_found);
+        self.first_chain(calls, turn, is_conclusive).await
     }
 
-    /// Reads a chain from any partition that knows its last turn.
-    async fn find(&self, turn: &Name) -> Result<Chain, LedgerError> {
+    /// Reads a chain from any partition that knows its last turn. No denial is
+    /// conclusive if it is certain that the turn was stored.
+    async fn find(&self, turn: &Name, is_certain: bool) -> Result<Chain, LedgerError> {
         let (layout, links) = {
             let state = lock(&self.state);
             let links: Vec<_> = state.links.all().filter(|link| link.is_up()).cloned().collect();
@@ -455,8 +480,9 @@
             let op = Op::Find { turn: turn.clone(), epochs: epochs.clone() };
             (link.member.disk, link.call(Scope { partition: 0, epoch: 0 }, op).await)
         });
-        let is_conclusive =
-            |not_found: &[u64]| layout.partitions.iter().all(|set| set.has_read_quorum(not_found));
+        let is_conclusive = |not_found: &[u64]| {
+            !is_certain && layout.partitions.iter().all(|set| set.has_read_quorum(not_found))
+        };
         self.first_chain(calls, turn, is_conclusive).await
     }
 
--- a/crates/gg-ledger/src/commits.rs
+++ b/crates/gg-ledger/src/commits.rs
@@ -61,6 +61,12 @@
         batch
     }
 
+    /// Adds what has to be known of whole partitions before their accounts.
+    fn push_partitions(&mut self, node: &Node) {
+        let now = node.now();
+        node.store().partition_entries().iter().for_each(|entry| self.push(entry, now));
+    }
+
     fn append(&mut self, other: Batch) {
         let start = self.encoded.len();
         self.encoded.extend_from_slice(&other.encoded);
@@ -71,9 +77,6 @@
     /// Adds those entries of the oldest segment that are still needed.
     fn push_needed(&mut self, node: &Node, entries: &[StoredEntry]) {
         let (store, now) = (node.store(), node.now());
-        if entries.is_empty() {
-            store.partition_entries().iter().for_each(|entry| self.push(entry, now));
-        }
         for StoredEntry { location, content } in entries {
             match content {
                 StoredContent::Known(entry, at) => {
@@ -145,8 +148,9 @@
     done: Vec<oneshot::Sender<()>>,
     /// Bytes that were queued.
     queued: u64,
-    /// Entries of the oldest segment that the batch makes obsolete.
-    obsolete: Option<Vec<StoredEntry>>,
+    /// Entries of the oldest segment that the batch makes obsolete, and how many
+    /// bytes of them it holds.
+    obsolete: Option<(Vec<StoredEntry>, u64)>,
 }
 
 impl Round {
@@ -210,8 +214,15 @@
     if is_removing {
         let entries;
         (log, entries) = blocking(move || log.read_oldest().map(|entries| (log, entries))).await?;
+        let before = round.batch.encoded.len();
         round.batch.push_needed(node, &entries);
-        round.obsolete = Some(entries);
+        round.obsolete = Some((entries, (round.batch.encoded.len() - before) as u64));
+    }
+    // Whatever segments are removed later, accounts are read after their retention.
+    if log.is_segment_empty() && (is_removing || !round.batch.encoded.is_empty()) {
+        let entries = std::mem::take(&mut round.batch);
+        round.batch.push_partitions(node);
+        round.batch.append(entries);
     }
     let Round { batch: Batch { encoded, turns }, done, queued, obsolete } = round;
     if !encoded.is_empty() {
@@ -222,8 +233,8 @@
         node.metrics().time("log_sync", began.elapsed().as_micros() as u64, &[]);
         node.metrics().add("log_bytes", bytes, &[]);
     }
-    if let Some(entries) = obsolete {
-        log = blocking(move || log.advance(&entries).map(|()| log)).await?;
+    if let Some((entries, kept)) = obsolete {
+        log = blocking(move || log.advance(&entries, kept).map(|()| log)).await?;
     }
     node.commits().record_written(queued);
     for done in done {
--- a/crates/gg-ledger/src/index.rs
+++ b/crates/gg-ledger/src/index.rs
@@ -258,7 +258,7 @@
 
     /// Marks a turn and those before it as used: a chain is retained as long as
     /// its last turn. A turn that was used later marked its chain itself.
-    pub(crate) fn mark_used(&mut self, last: Option<Name>, at: LogTime) {
+    fn mark_used(&mut self, last: Option<Name>, at: LogTime) {
         let mut next = last;
         while let Some(stored) = next.take().and_then(|turn| self.turns.get_mut(&turn)) {
             if stored.last_used < at {
@@ -268,6 +268,14 @@
         }
     }
 
+    /// Marks all chains as used when their last turns were. Needed after entries
+    /// were applied of which some precede the turns that they continue.
+    pub fn mark_chains(&mut self) {
+        let used: Vec<_> =
+            self.turns.values().map(|turn| (turn.previous.clone(), turn.last_used)).collect();
+        used.into_iter().for_each(|(previous, at)| self.mark_used(previous, at));
+    }
+
     /// Records where an applied turn stands in the log. Returns whether this is
     /// its first place. Its text then stays in memory until [`Index::unload`].
     pub fn set_location(&mut self, turn: &str, location: Location) -> bool {
@@ -320,7 +328,9 @@
         let mut texts = Vec::new();
         let mut next = Some(turn.clone());
         let mut upstream = None;
-        while let Some(name) = next.take() {
+        // A client may use the name of a turn twice, so that a chain has no start.
+        let turns_max = self.turns.len();
+        while let Some(name) = next.take().filter(|_| texts.len() <= turns_max) {
             let Some(stored) = self.turns.get_mut(&name) else {
                 next = Some(name);
                 break;
@@ -419,10 +429,10 @@
         accounts.collect()
     }
 
-    /// The retention of accounts as a log entry, if there are any.
+    /// The retention of accounts as a log entry, if one is known.
     pub fn retention_entry(&self) -> Option<LogEntry> {
         let keep_ms = u32::try_from(self.retention.as_millis()).unwrap_or(u32::MAX);
-        (!self.accounts.is_empty()).then_some(LogEntry::Retention(keep_ms))
+        (keep_ms > 0).then_some(LogEntry::Retention(keep_ms))
     }
 
     /// Time of the last use that an entry at this location has to keep when it
@@ -456,7 +466,12 @@
     /// Drops entries that were not used within their retention time plus
     /// `margin`.
     pub fn expire(&mut self, now: LogTime, margin: Duration) {
-        let retention = self.retention + margin;
+        self.expire_turns(now, margin);
+        self.expire_accounts(now, margin);
+    }
+
+    /// Drops turns that were not used within their retention time plus `margin`.
+    pub fn expire_turns(&mut self, now: LogTime, margin: Duration) {
         let (text_bytes, log_bytes) = (&mut self.text_bytes, &mut self.turn_log_bytes);
         self.turns.retain(|_, stored| {
             let retention = Duration::from_millis(stored.keep_ms.into()) + margin;
@@ -467,6 +482,11 @@
             }
             is_live
         });
+    }
+
+    /// Drops accounts that were not used within the retention time plus `margin`.
+    pub fn expire_accounts(&mut self, now: LogTime, margin: Duration) {
+        let retention = self.retention + margin;
         let spend_count = &mut self.spend_count;
         self.accounts.retain(|_, account| {
             let is_live = now.since(account.last_used) < retention;
--- a/crates/gg-ledger/src/log_file.rs
+++ b/crates/gg-ledger/src/log_file.rs
@@ -21,10 +21,13 @@
 /// Approximate number of bytes of the oldest segment that are read at a time.
 const CHUNK_BYTES: u64 = 256 << 10;
 
-/// Number of segments above which the oldest is removed whatever the size of the
-/// log. Each holds a file open.
+/// Number of small segments above which the oldest is removed whatever the size
+/// of the log. Each start begins one, and each holds a file open.
 const SEGMENTS_MAX: usize = 64;
 
+/// Segments are small if they have fewer bytes than this on average.
+const SMALL_SEGMENT_BYTES: u64 = SEGMENT_BYTES / 4;
+
 const SEGMENT_EXTENSION: &str = "log";
 const TEMP_EXTENSION: &str = "tmp";
 
@@ -78,6 +81,18 @@
     bytes: u64,
     /// Offset up to which the oldest segment has been read for its removal.
     read_offset: u64,
+    pass: Pass,
+}
+
+/// A pass over all segments that the log had when the pass began.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pass {
+    /// Last segment of the pass.
+    last: u32,
+    /// Bytes that were written again.
+    kept: u64,
+    /// Bytes that the pass before it wrote again.
+    kept_before: u64,
 }
 
 impl LogFile {
@@ -104,7 +119,16 @@
         read.push_back(Segment { number, file: file.clone(), bytes: 0 });
         let reader = LogReader { segments: Arc::new(Mutex::new(read)) };
         let folder = folder.to_owned();
-        Ok((LogFile { folder, reader, number, file, bytes: 0, read_offset: 0 }, recovered))
+        let log = LogFile {
+            folder,
+            reader,
+            number,
+            file,
+            bytes: 0,
+            read_offset: 0,
+            pass: Pass::default(),
+        };
+        Ok((log, recovered))
     }
 
     /// Reads single entries.
@@ -146,10 +170,17 @@
     }
 
     /// Whether the oldest segment should be removed, so that the log takes
-    /// `target_bytes` at most.
+    /// `target_bytes` at most, or twice what the last pass over it kept.
     pub fn is_removal_due(&self, target_bytes: u64) -> bool {
         let count = lock(&self.reader.segments).len();
-        count > 1 && (count > SEGMENTS_MAX || self.reader.bytes() > target_bytes)
+        let bytes = self.reader.bytes();
+        let is_scattered = count > SEGMENTS_MAX && bytes / (count as u64) < SMALL_SEGMENT_BYTES;
+        count > 1 && (is_scattered || bytes > target_bytes.max(2 * self.pass.kept_before))
+    }
+
+    /// Whether nothing was appended to the current segment yet.
+    pub fn is_segment_empty(&self) -> bool {
+        self.bytes == 0
     }
 
     /// Reads the next entries of the oldest segment; none at its end. Those that
@@ -167,9 +198,10 @@
         Ok(entries)
     }
 
-    /// Continues after the entries that [`LogFile::read_oldest`] has returned.
-    /// Removes the segment at its end.
-    pub fn advance(&mut self, entries: &[StoredEntry]) -> io::Result<()> {
+    /// Continues after the entries that [`LogFile::read_oldest`] has returned, of
+    /// which `kept` bytes were written again. Removes the segment at its end.
+    pub fn advance(&mut self, entries: &[StoredEntry], kept: u64) -> io::Result<()> {
+        self.pass.kept += kept;
         match entries.last().map(|entry| entry.location) {
             Some(last) => {
                 self.read_offset = u64::from(last.offset) + u64::from(last.bytes);
@@ -183,6 +215,9 @@
         let removed = lock(&self.reader.segments).pop_front();
         self.read_offset = 0;
         let Some(removed) = removed else { return Ok(()) };
+        if removed.number >= self.pass.last {
+            self.pass = Pass { last: self.number, kept: 0, kept_before: self.pass.kept };
+        }
         fs::remove_file(segment_path(&self.folder, removed.number))?;
         sync_folder(&self.folder)
     }
@@ -208,7 +243,7 @@
     let (number, unread) = (segment.number, reader.unread_bytes);
     let mut damaged = reader.damaged_bytes;
     let mut bytes = segment.bytes;
-    if may_be_torn && unread > 0 {
+    if may_be_torn && unread > 0 && !reader.is_undecided {
         recovered.torn_bytes += unread;
         bytes -= unread;
         let file = OpenOptions::new().write(true).open(segment_path(folder, number))?;
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -49,13 +49,21 @@
 const BACKLOG: u32 = 512;
 
 /// Interval between removals of expired entries.
-const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
+pub(crate) const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Time after the start in which nothing expires. A turn that was running before
+/// may end meanwhile, and continues turns that only its opening had marked as
+/// used.
+const RUNNING_TURN_TIME: Duration = Duration::from_secs(60);
 
 /// Time that entries are retained beyond their requested lifetime: for requests
 /// that are sent at its end and repeated until their deadline, and for the
 /// interval between removals.
 pub(crate) const EXPIRE_MARGIN: Duration = Duration::from_secs(15);
 
+/// Minimum time between two log lines on who is refused.
+const REFUSING_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Number of chains that may be read from the log at a time. Each takes a
 /// thread.
 const READS_MAX: usize = 4;
@@ -94,8 +102,14 @@
     reads: Semaphore,
     metrics: Metrics,
     capacity: Capacity,
-    /// Openers that are refused, as last logged.
-    refusing: Mutex<Option<Opener>>,
+    refusing: Mutex<Refusing>,
+}
+
+/// Openers that are refused, as last logged.
+#[derive(Debug, Default)]
+struct Refusing {
+    opener: Option<Opener>,
+    logged_at: Option<Instant>,
 }
 
 impl Node {
@@ -194,23 +208,35 @@
         let (fill, bound) = capacity.fill(usage);
         let openers = [Opener::InProgress, Opener::NewProgram];
         let refused = openers.into_iter().find(|opener| !capacity.admits(fill, *opener));
-        if std::mem::replace(&mut *lock(&self.shared.refusing), refused) != refused {
-            let refused = match refused {
-                None => "none",
-                Some(Opener::NewProgram) => "new",
-                Some(Opener::InProgress) => "all",
-            };
-            log::warn!(
-                "event=ledger_full refused={refused} percent={fill} bound={bound} memory={} \
-                 needed={} backlog={}",
-                usage.memory,
-                usage.needed,
-                usage.backlog
-            );
-        }
+        self.log_refusing(refused, usage, fill, bound);
         capacity.admits(fill, opener)
     }
 
+    /// Whether the disk takes nothing, or far less than arrives.
+    pub(crate) fn is_stuck(&self) -> bool {
+        self.capacity().is_stuck(self.shared.commits.backlog())
+    }
+
+    /// Logs a change of who is refused, at most once in [`REFUSING_LOG_INTERVAL`].
+    fn log_refusing(&self, opener: Option<Opener>, usage: Usage, fill: u64, bound: &str) {
+        let mut refusing = lock(&self.shared.refusing);
+        let is_recent = refusing.logged_at.is_some_and(|at| at.elapsed() < REFUSING_LOG_INTERVAL);
+        if refusing.opener == opener || is_recent {
+            return;
+        }
+        *refusing = Refusing { opener, logged_at: Some(Instant::now()) };
+        let refused = match opener {
+            None => "none",
+            Some(Opener::NewProgram) => "new",
+            Some(Opener::InProgress) => "all",
+        };
+        let Usage { memory, needed, backlog } = usage;
+        log::warn!(
+            "event=ledger_full refused={refused} percent={fill} bound={bound} memory={memory} \
+             needed={needed} backlog={backlog}"
+        );
+    }
+
     pub(crate) fn metrics(&self) -> &Metrics {
         &self.shared.metrics
     }
@@ -375,7 +401,9 @@
         if !self.write(&[(partition, LogEntry::Epoch(set.epoch))]).await {
             return Err(PullError::Refused);
         }
-        self.store().set_copied(partition, set.epoch);
+        let mut store = self.store();
+        store.mark_chains(partition);
+        store.set_copied(partition, set.epoch);
         Ok(())
     }
 
@@ -417,6 +445,7 @@
     }
 
     async fn expire(self) {
+        time::sleep(RUNNING_TURN_TIME).await;
         loop {
             time::sleep(EXPIRE_INTERVAL).await;
             self.store().expire(self.now(), EXPIRE_MARGIN);
--- a/crates/gg-ledger/src/partition_store.rs
+++ b/crates/gg-ledger/src/partition_store.rs
@@ -211,6 +211,25 @@
         entries.collect()
     }
 
+    /// Drops entries that have expired even if a turn that continues them is
+    /// still to be read.
+    pub(crate) fn expire_unread(&mut self, now: LogTime, margin: Duration, turn_time: Duration) {
+        for state in self.partitions.values_mut() {
+            state.index.expire_turns(now, margin + turn_time);
+            state.index.expire_accounts(now, margin);
+        }
+    }
+
+    /// Marks all chains of a partition as used when their last turns were.
+    pub(crate) fn mark_chains(&mut self, partition: u16) {
+        self.index(partition).mark_chains();
+    }
+
+    /// Partitions of which anything is known.
+    pub(crate) fn partitions(&self) -> Vec<u16> {
+        self.partitions.keys().copied().collect()
+    }
+
     /// Drops expired entries.
     pub(crate) fn expire(&mut self, now: LogTime, margin: Duration) {
         self.partitions.values_mut().for_each(|state| state.index.expire(now, margin));
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -156,6 +156,10 @@
         chain: Option<Chain>,
         /// Replica that ran the branch's last turn, if it was requested.
         upstream: Option<Name>,
+        /// Whether the instance lacks a part of the chain that is continued. A
+        /// trailing field.
+        #[serde(skip)]
+        has_gap: bool,
     },
     /// Reply to [`Op::Account`].
     Account(Vec<TurnSpend>),
@@ -243,6 +247,7 @@
 /// Encodes a reply with its trailing field into a frame's payload.
 pub(crate) fn encode_reply(reply: &Reply) -> Bytes {
     match &reply.body {
+        ReplyBody::Opened { has_gap: true, .. } => encode(reply, Some(&true)),
         ReplyBody::PullChunk { ages_ms, .. } => encode(reply, Some(ages_ms)),
         _ => encode(reply, None::<&()>),
     }
@@ -269,8 +274,10 @@
 /// Decodes a reply from a frame's payload.
 pub(crate) fn decode_reply(frame: &BytesMut) -> Result<Reply, FrameError> {
     let (mut reply, rest): (Reply, _) = postcard::take_from_bytes(frame)?;
-    if let ReplyBody::PullChunk { ages_ms, .. } = &mut reply.body {
-        *ages_ms = trailing(rest)?.unwrap_or_default();
+    match &mut reply.body {
+        ReplyBody::Opened { has_gap, .. } => *has_gap = trailing(rest)?.unwrap_or_default(),
+        ReplyBody::PullChunk { ages_ms, .. } => *ages_ms = trailing(rest)?.unwrap_or_default(),
+        _ => {}
     }
     Ok(reply)
 }
--- a/crates/gg-ledger/src/pull.rs
+++ b/crates/gg-ledger/src/pull.rs
@@ -97,8 +97,9 @@
     pub(crate) fn new(node: &Node, partition: u16) -> Self {
         let mut store = node.store();
         let index = store.index(partition);
-        let mut others = index.account_entries();
-        others.extend(index.retention_entry().map(|entry| (entry, node.now())));
+        // Accounts are read after their retention.
+        let retention = index.retention_entry().map(|entry| (entry, node.now()));
+        let others: Vec<_> = retention.into_iter().chain(index.account_entries()).collect();
         PullSource { partition, turns: index.turn_names().into_iter(), others: others.into_iter() }
     }
 
--- a/crates/gg-ledger/src/recovery.rs
+++ b/crates/gg-ledger/src/recovery.rs
@@ -3,7 +3,8 @@
 use std::{io, path::Path, time::Duration};
 
 use crate::{
-    LogClock, LogEntry, LogFile, LogTime, RecoveryStats, StoredContent, node::EXPIRE_MARGIN,
+    LogClock, LogEntry, LogFile, LogTime, RecoveryStats, StoredContent,
+    node::{EXPIRE_INTERVAL, EXPIRE_MARGIN},
     partition_store::PartitionStore,
 };
 
@@ -11,8 +12,8 @@
 /// log still holds take no more memory than the ones in use.
 const EXPIRE_ENTRIES: usize = 1 << 16;
 
-/// Time that entries are retained while the log is read, beyond their lifetime:
-/// a turn that took this long may be stored further on and continue them.
+/// Time that turns are retained while the log is read, beyond their lifetime: a
+/// turn that took this long may be stored further on and continue them.
 const TURN_TIME_MAX: Duration = Duration::from_secs(600);
 
 /// What was read.
@@ -42,11 +43,14 @@
         }
         count += 1;
         if count % EXPIRE_ENTRIES == 0 {
-            store.expire(newest, EXPIRE_MARGIN + TURN_TIME_MAX);
+            store.expire_unread(newest, EXPIRE_MARGIN + EXPIRE_INTERVAL, TURN_TIME_MAX);
         }
     })?;
     let clock = LogClock::starting_at(newest);
     store.learn_facts(facts, newest);
+    for partition in store.partitions() {
+        store.mark_chains(partition);
+    }
     store.expire(newest, EXPIRE_MARGIN);
     Ok(Recovered { log, store, clock, stats })
 }
--- a/crates/gg-ledger/src/segment.rs
+++ b/crates/gg-ledger/src/segment.rs
@@ -102,6 +102,9 @@
     pub(crate) damaged_bytes: u64,
     /// Bytes at the end that no sound entry follows.
     pub(crate) unread_bytes: u64,
+    /// Whether sound entries may follow all the same, as the search for them was
+    /// given up.
+    pub(crate) is_undecided: bool,
 }
 
 impl SegmentReader {
@@ -109,7 +112,15 @@
     pub(crate) fn new(segment: Segment, offset: u64) -> Self {
         let input = input_at(&segment, offset);
         let content = Vec::new();
-        SegmentReader { segment, input, offset, content, damaged_bytes: 0, unread_bytes: 0 }
+        SegmentReader {
+            segment,
+            input,
+            offset,
+            content,
+            damaged_bytes: 0,
+            unread_bytes: 0,
+            is_undecided: false,
+        }
     }
 
     /// Offset of the next entry.
@@ -170,7 +181,13 @@
 
     /// Offset of the first sound entry after the damaged one at the current
     /// offset.
-    fn find_sound(&self) -> io::Result<Option<u64>> {
+    fn find_sound(&mut self) -> io::Result<Option<u64>> {
+        // Mostly a text is damaged and its length is not.
+        if let Some(next) = self.end_of_entry()?
+            && self.is_sound(next)?
+        {
+            return Ok(Some(next));
+        }
         let mut input = input_at(&self.segment, self.offset + 1);
         let mut window = [0; HEADER_BYTES];
         let mut filled = 0;
@@ -188,6 +205,7 @@
             let Some(header) = Header::read(window, self.segment.bytes - start) else { continue };
             checked += header.length;
             if checked > SEARCH_BYTES_MAX {
+                self.is_undecided = true;
                 break;
             }
             content.resize(header.length, 0);
@@ -200,6 +218,32 @@
     }
 }
 
+impl SegmentReader {
+    /// Where the damaged entry at the current offset ends by its length.
+    fn end_of_entry(&self) -> io::Result<Option<u64>> {
+        let header = self.header_at(self.offset)?;
+        Ok(header.map(|header| self.offset + (HEADER_BYTES + header.length) as u64))
+    }
+
+    /// Whether an entry at `offset` is sound.
+    fn is_sound(&self, offset: u64) -> io::Result<bool> {
+        let Some(header) = self.header_at(offset)? else { return Ok(false) };
+        let mut content = vec![0; header.length];
+        self.segment.file.read_exact_at(&mut content, offset + HEADER_BYTES as u64)?;
+        Ok(header.matches(&content))
+    }
+
+    fn header_at(&self, offset: u64) -> io::Result<Option<Header>> {
+        let remaining = self.segment.bytes.saturating_sub(offset);
+        if remaining < HEADER_BYTES as u64 {
+            return Ok(None);
+        }
+        let mut bytes = [0; HEADER_BYTES];
+        self.segment.file.read_exact_at(&mut bytes, offset)?;
+        Ok(Header::read(bytes, remaining))
+    }
+}
+
 fn input_at(segment: &Segment, offset: u64) -> BufReader<FileCursor> {
     let cursor = FileCursor { file: segment.file.clone(), offset };
     BufReader::with_capacity(BUFFER_BYTES, cursor)
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -98,21 +98,25 @@
                 send_reply(replies, id, ReplyBody::Full).await;
                 return;
             }
-            if let Some(turn) = continues {
-                node.store().index(partition).mark_used(Some(turn), node.now());
-            }
+            let chain_end = continues
+                .map(|turn| node.store().index(partition).chain(&turn, node.now()).missing);
+            let has_gap = chain_end.flatten().is_some();
             let upstream = last_run(node, partition, &reserve, branch);
             let (others, entries) = reserve_tokens(node, partition, turn, reserve, keep_ms);
             if keep_ms.is_some() {
-                let body = ReplyBody::Opened { others, chain: None, upstream };
+                let body = ReplyBody::Opened { others, chain: None, upstream, has_gap };
                 reply_after_write(node, id, entries, body, replies);
                 return;
             }
             node.enqueue(&entries);
             let lookup = chain.map(|turn| Lookup::Partition(partition, turn));
-            let body = move |chain| ReplyBody::Opened { others, chain, upstream };
+            let body = move |chain| ReplyBody::Opened { others, chain, upstream, has_gap };
             reply_chain(node, id, lookup, replies, body).await;
         }
+        Op::Close { record: Some(_), .. } if node.is_stuck() => {
+            // The other members store the turn; this one will have a gap.
+            node.metrics().count("closes_refused", &[]);
+        }
         Op::Close { turn, settle, record, run } => {
             let program = settle.as_ref().map(|(program, _)| program.clone());
             close(node, id, partition, turn, settle, record, replies);
@@ -312,6 +316,11 @@
     replies: &mpsc::Sender<Bytes>,
 ) {
     let is_awaited = record.is_some();
+    // A refused turn leaves no account behind. Its reservation, if there is one,
+    // arrived on the same connection before.
+    let settle = settle.filter(|(program, tokens)| {
+        *tokens > 0 || is_awaited || node.store().index(partition).has_account(program)
+    });
     let settle = settle.map(|(program, tokens)| LogEntry::Settle { program, turn, tokens });
     let entries = settle.into_iter().chain(record.map(LogEntry::Turn));
     let entries: Vec<_> = entries.map(|entry| (partition, entry)).collect();
--- a/crates/gg-ledger/tests/capacity.rs
+++ b/crates/gg-ledger/tests/capacity.rs
@@ -35,7 +35,8 @@
         let needed = CAPACITY.disk_bytes / 100 * percent;
         let (fill, _) = CAPACITY.fill(Usage { needed, ..Usage::default() });
         if CAPACITY.admits(fill, Opener::InProgress) {
-            assert!(CAPACITY.log_bytes(needed) < CAPACITY.disk_bytes / 10 * 9, "{percent}%");
+            let room = CAPACITY.disk_bytes - CAPACITY.log_bytes(needed).max(2 * needed);
+            assert!(room > 48 << 20, "{percent}%");
         }
     }
     let small = Capacity { disk_bytes: 10 << 20, ..CAPACITY };
@@ -58,11 +59,14 @@
         count += 1;
     }
     assert_eq!(count, 22, "turns of a program in progress");
-    for attempt in ["a", "b", "c"] {
-        let refused = open("new", attempt, None).await;
+    let accounts = || deployment.nodes.iter().map(|node| node.len().1).collect::<Vec<_>>();
+    assert_eq!(accounts(), [1, 1, 1]);
+    for attempt in 0..60 {
+        let refused = open(&format!("new-{}", attempt / 2), &format!("a{attempt}"), None).await;
         assert_eq!(refused.expect_err("a new program"), LedgerError::Full);
     }
     open("known", "next", None).await.expect("a program in progress");
+    assert_eq!(accounts(), [1, 1, 1], "refused turns leave no accounts");
 }
 
 /// A new program that continues a stored turn is in progress on all members,
--- a/crates/gg-ledger/tests/formats.rs
+++ b/crates/gg-ledger/tests/formats.rs
@@ -106,7 +106,7 @@
     assert_eq!(node.disk(), recorded::DISK);
     assert_eq!(node.len(), (6, 2), "turns and accounts");
     let (program, other) = (program_in(0), program_in(1));
-    for (turn, program, history, is_foreign) in [
+    for (turn, program, history, needs_history) in [
         ("turn-1", &program, text(1), false),
         ("turn-3", &program, text(3), false),
         ("turn-3", &other, text(3), true),
@@ -118,7 +118,7 @@
         let opened = ledger.open(&next, deadline()).await.expect(turn);
         assert_eq!(opened.history, history, "{turn}");
         assert_eq!(opened.upstream.as_deref(), Some("replica-3"), "{turn}");
-        assert_eq!(opened.is_foreign, is_foreign, "{turn}");
+        assert_eq!(opened.needs_history, needs_history, "{turn}");
     }
     let dropped = request(&program_in(2), "next", Some("dropped"));
     let result = ledger.open(&dropped, deadline()).await;
@@ -272,8 +272,13 @@
     };
     let reserve = |turn: &str| (0, Entry::Reserve(program.clone(), turn.into(), 10));
     let settle = |turn: &str| (0, Entry::Settle(program.clone(), turn.into(), 3));
-    let written = [reserve("turn-4"), settle("turn-4"), turn("turn-4", "turn-3")];
-    assert_eq!(after[before.len()..], written);
+    // Each segment begins with what has to be known of partitions.
+    let (heads, written): (Vec<_>, Vec<_>) = after[before.len()..]
+        .iter()
+        .cloned()
+        .partition(|(_, entry)| matches!(entry, Entry::Epoch(_) | Entry::Retention(_)));
+    assert_eq!(written, [reserve("turn-4"), settle("turn-4"), turn("turn-4", "turn-3")]);
+    assert_eq!(after[before.len()..][..heads.len()], heads);
 
     // Each start begins a segment; the oldest of too many are removed.
     for _ in 0..SEGMENTS {
@@ -378,10 +383,10 @@
     let budget = Some((1_000_000, 40));
     let next = OpenRequest { budget, ..request(&program, "turn-4", Some("turn-3")) };
     let opened = ledger.open(&next, deadline()).await.expect("opened");
-    assert_eq!((opened.history, opened.is_foreign), (text(3).into(), false));
+    assert_eq!((opened.history, opened.needs_history), (text(3).into(), false));
     let foreign = OpenRequest { budget, ..request(&program_in(1), "foreign", Some("turn-3")) };
     let opened = ledger.open(&foreign, deadline()).await.expect("opened");
-    assert_eq!((opened.history, opened.is_foreign), (text(3).into(), true));
+    assert_eq!((opened.history, opened.needs_history), (text(3).into(), true));
     let branched =
         OpenRequest { budget, branch: Some("b".into()), ..request(&program, "run-2", None) };
     let opened = ledger.open(&branched, deadline()).await.expect("opened");
--- a/crates/gg-ledger/tests/log.rs
+++ b/crates/gg-ledger/tests/log.rs
@@ -98,8 +98,9 @@
         let oldest = log.read_oldest().expect("read");
         let needed: Vec<_> = oldest.iter().cloned().map(known).collect();
         let needed = needed.iter().position(|known| *known == entries[40]).map(|at| &needed[at..]);
-        log.append(&encoded(needed.unwrap_or_default())).expect("append");
-        log.advance(&oldest).expect("advance");
+        let needed = encoded(needed.unwrap_or_default());
+        log.append(&needed).expect("append");
+        log.advance(&oldest, needed.len() as u64).expect("advance");
     }
     drop(log);
     fs::write(folder.path().join("00000099.tmp"), b"unfinished").expect("write");
@@ -126,6 +127,39 @@
     assert!(log.reader().read(wrong).is_err());
 }
 
+/// A damaged text, whose bytes look like lengths of entries, cut off all entries
+/// that followed as if a power loss had torn them.
+#[test]
+fn damaged_binary_text() {
+    let folder = TempDir::new().expect("folder");
+    let (mut log, ..) = open(folder.path());
+    let mut state = 88_172_645_463_325_252_u64;
+    let mut random = || {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        (state >> 32) as u8
+    };
+    let turn = |number: usize, text: Vec<u8>| {
+        let (turn, upstream) = (format!("turn-{number}").into(), "replica".into());
+        let text = text.into();
+        (0, LogEntry::Turn(TurnRecord { turn, previous: None, text, upstream, keep_ms: 1 }))
+    };
+    let entries: Vec<_> =
+        (0..600).map(|number| turn(number, (0..8_000).map(|_| random()).collect())).collect();
+    log.append(&encoded(&entries)).expect("append");
+    drop(log);
+    let path = folder.path().join("00000001.log");
+    let mut content = fs::read(&path).expect("read");
+    let damaged = encoded(&entries[..100]).len() + 300;
+    content[damaged] ^= 1;
+    fs::write(&path, &content).expect("write");
+    let (_, recovered, found) = open(folder.path());
+    assert_eq!(found.len(), 599);
+    assert_eq!((recovered.torn_bytes, recovered.damaged_bytes > 8_000), (0, true));
+    assert_eq!(fs::read(&path).expect("read"), content, "nothing is cut off");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(60))]
 
--- a/crates/gg-ledger/tests/restarts.rs
+++ b/crates/gg-ledger/tests/restarts.rs
@@ -126,3 +126,60 @@
     let opened = deployment.ledger.open(&next, Instant::now() + WAIT_TIMEOUT).await;
     assert_eq!(opened.expect("opened").history, expected);
 }
+
+/// The time for which budgets are retained was forgotten when the segment that
+/// held it was removed, and a spent budget was granted again after a restart.
+#[tokio::test]
+async fn retention_survives_removal() {
+    let folder = TempDir::new().expect("folder");
+    let retention = (0, LogEntry::Retention(60_000));
+    let garbage = turn("old", None, &"x".repeat(3 << 20));
+    write_segment(folder.path(), &[(retention, at(0)), (garbage, at(0))]);
+    write_segment(folder.path(), &[((0, LogEntry::Epoch(1)), at(500))]);
+    {
+        let (_node, _stop) = start(folder.path(), 1 << 20).await;
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        while folder.path().join("00000001.log").exists() {
+            assert!(Instant::now() < deadline, "the first segment stays");
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    write_segment(
+        folder.path(),
+        &[(settle("p", "t"), at(600)), ((0, LogEntry::Epoch(1)), at(650))],
+    );
+    let (node, _stop) = start(folder.path(), 1 << 20).await;
+    assert_eq!(node.len(), (0, 1), "the account is 50 s old");
+}
+
+/// Entries that are never dropped, beyond the size of the log at which segments
+/// are removed, were written again without end.
+#[tokio::test]
+async fn removal_ends() {
+    let folder = TempDir::new().expect("folder");
+    let unknown = {
+        let mut content = vec![0, 200];
+        content.resize(100_000, b'u');
+        let header = [content.len() as u32, crc32fast::hash(&content)].map(u32::to_le_bytes);
+        [header.concat(), content].concat()
+    };
+    for _ in 0..3 {
+        let (mut log, _) = LogFile::open(folder.path(), |_| ()).expect("open");
+        log.append(&unknown.repeat(10)).expect("append");
+    }
+    let (node, _stop) = start(folder.path(), 1).await;
+    let newest = || {
+        let names = fs::read_dir(folder.path()).expect("folder");
+        names.map(|entry| entry.expect("entry").file_name()).max().expect("a segment")
+    };
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while folder.path().join("00000003.log").exists() {
+        assert!(Instant::now() < deadline, "the third segment stays");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    let after_pass = newest();
+    // Each further pass would begin a segment of 16 MiB after a few rounds.
+    time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(newest(), after_pass);
+    assert!(node.log_bytes() < 4_000_000, "{}", node.log_bytes());
+}
--- a/crates/gg-ledger/tests/support/mod.rs
+++ b/crates/gg-ledger/tests/support/mod.rs
@@ -22,6 +22,7 @@
 /// deployment is dropped.
 pub struct Deployment {
     pub ledger: Ledger,
+    pub nodes: Vec<Node>,
     _stop: DropGuard,
 }
 
@@ -58,7 +59,7 @@
             assert!(Instant::now() < deadline, "the members are not connected");
             time::sleep(Duration::from_millis(10)).await;
         }
-        Deployment { ledger, _stop: stop.drop_guard() }
+        Deployment { ledger, nodes, _stop: stop.drop_guard() }
     }
 }
 
