--- a/crates/gg-ledger/examples/ledger_capacity/main.rs
+++ b/crates/gg-ledger/examples/ledger_capacity/main.rs
@@ -47,7 +47,8 @@
 
 type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
 
-#[tokio::main]
+// Like the ledger command, on one thread.
+#[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<()> {
     let args: Vec<String> = env::args().skip(1).collect();
     match args.iter().map(String::as_str).collect::<Vec<_>>()[..] {
