--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     Chain, CrashFacts, Layout, LedgerError, Member, TurnRecord,
-    index::{LastRun, TurnSpend},
+    account::{LastRun, TurnSpend},
     link::{Link, Scope},
     links::Links,
     node::lock,
--- a/crates/gg-ledger/src/index.rs
+++ b/crates/gg-ledger/src/index.rs
@@ -11,7 +11,11 @@
 use gg_protocol::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{Location, LogEntry, LogTime, TurnRecord, encoding::HEADER_BYTES};
+use crate::{
+    LastRun, Location, LogEntry, LogTime, TurnRecord,
+    account::{Account, Spend, TurnSpend},
+    encoding::HEADER_BYTES,
+};
 
 /// A chain from its start to the requested turn, as far as it is known.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,53 +58,6 @@
     }
 }
 
-/// Tokens that one turn spent or reserved.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct TurnSpend {
-    pub(crate) turn: Name,
-    pub(crate) tokens: u32,
-    /// Whether the turn has ended. Otherwise the tokens are reserved.
-    pub(crate) is_settled: bool,
-}
-
-/// Tokens of one turn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Spend {
-    Reserved(u32),
-    Settled(u32),
-}
-
-impl Spend {
-    fn tokens(self) -> u64 {
-        match self {
-            Spend::Reserved(tokens) | Spend::Settled(tokens) => u64::from(tokens),
-        }
-    }
-}
-
-/// Number of conversation branches per program whose replicas are remembered.
-/// The oldest is evicted first.
-const BRANCHES_MAX: usize = 8;
-
-/// Replica that ran the last turn of a conversation branch and has its prompt
-/// cached.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LastRun {
-    /// Conversation branch.
-    pub branch: Name,
-    /// Replica.
-    pub upstream: Name,
-}
-
-#[derive(Debug)]
-struct Account {
-    turns: HashMap<Name, Spend>,
-    total: u64,
-    last_used: LogTime,
-    /// A placement hint, so it is not logged.
-    runs: Vec<LastRun>,
-}
-
 #[derive(Debug)]
 struct StoredTurn {
     previous: Option<Name>,
@@ -298,29 +255,19 @@
     }
 
     fn open_account(&mut self, program: Name, at: LogTime) -> &mut Account {
-        let empty = || Account { turns: HashMap::new(), total: 0, last_used: at, runs: Vec::new() };
-        let account = self.accounts.entry(program).or_insert_with(empty);
+        let account = self.accounts.entry(program).or_insert_with(|| Account::new(at));
         account.last_used = account.last_used.max(at);
         account
     }
 
     /// Tokens that turns of `program` other than `turn` spent or reserved.
     pub fn others(&self, program: &str, turn: &str) -> u64 {
-        let Some(account) = self.accounts.get(program) else { return 0 };
-        account.total - account.turns.get(turn).map_or(0, |spend| spend.tokens())
+        self.accounts.get(program).map_or(0, |account| account.others(turn))
     }
 
     /// What each turn of a program spent or reserved.
     pub(crate) fn account(&self, program: &str) -> Vec<TurnSpend> {
-        let turns = self.accounts.get(program).into_iter().flat_map(|account| &account.turns);
-        let spent = turns.map(|(turn, spend)| {
-            let (tokens, is_settled) = match *spend {
-                Spend::Reserved(tokens) => (tokens, false),
-                Spend::Settled(tokens) => (tokens, true),
-            };
-            TurnSpend { turn: turn.clone(), tokens, is_settled }
-        });
-        spent.collect()
+        self.accounts.get(program).map(Account::spends).unwrap_or_default()
     }
 
     /// The chain that ends with `turn`. Marks all of its turns as used.
@@ -351,20 +298,15 @@
 
     /// Records which replica ran the last turn of a conversation branch.
     pub fn record_run(&mut self, program: &str, run: LastRun) {
-        let Some(account) = self.accounts.get_mut(program) else { return };
-        account.runs.retain(|known| known.branch != run.branch);
-        if account.runs.len() >= BRANCHES_MAX {
-            account.runs.remove(0);
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.record_run(run);
         }
-        account.runs.push(run);
     }
 
     /// The replica that ran the last turn of a conversation branch. A new
     /// branch continues the program's latest one, so it gets that replica.
     pub fn last_run(&self, program: &str, branch: &str) -> Option<Name> {
-        let runs = &self.accounts.get(program)?.runs;
-        let own = runs.iter().find(|run| &*run.branch == branch);
-        own.or(runs.last()).map(|run| run.upstream.clone())
+        self.accounts.get(program)?.last_run(branch)
     }
 
     /// Whether any turn of a program has spent or reserved tokens.
@@ -375,7 +317,7 @@
     /// Whether a program has tokens that are spent or reserved. A refused turn
     /// leaves an account without any.
     pub fn has_spent(&self, program: &str) -> bool {
-        self.accounts.get(program).is_some_and(|account| account.total > 0)
+        self.accounts.get(program).is_some_and(Account::has_spent)
     }
 
     /// Whether a turn is known.
@@ -440,7 +382,7 @@
     pub fn needed_since(&self, entry: &LogEntry, location: Location) -> Option<LogTime> {
         let spend = |program: &Name, turn: &Name, spend: Spend| {
             let account = self.accounts.get(program)?;
-            (account.turns.get(turn) == Some(&spend)).then_some(account.last_used)
+            account.holds(turn, spend).then_some(account.last_used)
         };
         match entry {
             LogEntry::Turn(record) => {
@@ -490,7 +432,7 @@
         let spend_count = &mut self.spend_count;
         self.accounts.retain(|_, account| {
             let is_live = now.since(account.last_used) < retention;
-            *spend_count -= if is_live { 0 } else { account.turns.len() };
+            *spend_count -= if is_live { 0 } else { account.len() };
             is_live
         });
     }
@@ -506,32 +448,3 @@
         }
     }
 }
-
-impl Account {
-    /// Returns whether the turn is new to the account.
-    fn reserve(&mut self, turn: Name, tokens: u32) -> bool {
-        // A settlement that arrived before its reservation takes precedence.
-        let hash_map::Entry::Vacant(entry) = self.turns.entry(turn) else { return false };
-        entry.insert(Spend::Reserved(tokens));
-        self.total += u64::from(tokens);
-        true
-    }
-
-    /// Returns whether the turn is new to the account.
-    fn settle(&mut self, turn: Name, tokens: u32) -> bool {
-        let before = self.turns.insert(turn, Spend::Settled(tokens));
-        self.total += u64::from(tokens);
-        self.total -= before.map_or(0, Spend::tokens);
-        before.is_none()
-    }
-
-    fn entries(&self, program: &Name) -> impl Iterator<Item = LogEntry> {
-        self.turns.iter().map(|(turn, spend)| {
-            let (program, turn) = (program.clone(), turn.clone());
-            match *spend {
-                Spend::Reserved(tokens) => LogEntry::Reserve { program, turn, tokens },
-                Spend::Settled(tokens) => LogEntry::Settle { program, turn, tokens },
-            }
-        })
-    }
-}
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -6,6 +6,7 @@
 //! sees every acknowledged entry. The member sets are stored in the platform's
 //! directory and change in two steps ([`LedgerSet`]).
 
+mod account;
 mod capacity;
 mod chains;
 mod client;
@@ -37,6 +38,7 @@
 mod sources;
 mod view;
 
+pub use account::LastRun;
 pub use capacity::{Capacity, Opener, Usage};
 pub use client::{Ledger, OpenRequest, OpenedTurn, TurnKey};
 pub use crashes::{AgedFact, CrashFact, CrashFacts, RequestFingerprint};
@@ -44,7 +46,7 @@
 pub use entry::{LogEntry, PartitionEntry, TurnRecord};
 pub use entry_filter::EntryFilter;
 pub use error::LedgerError;
-pub use index::{Chain, Index, IndexBytes, LastRun, StoredChain, StoredText};
+pub use index::{Chain, Index, IndexBytes, StoredChain, StoredText};
 pub use layout_controller::{LayoutController, LayoutControllerSettings};
 pub use log_file::{LogFile, LogReader, RecoveryStats};
 pub use log_time::{LogClock, LogTime};
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -22,7 +22,8 @@
 use crate::{
     AgedFact, Layout, LimitReport, LogEntry, OverloadReport, PermitReply, PermitRequest,
     TunnelOffer, TurnRecord,
-    index::{Chain, LastRun, TurnSpend},
+    account::{LastRun, TurnSpend},
+    index::Chain,
 };
 
 /// Largest frame, in bytes. A chain of 280,000 tokens fits.
