--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -103,6 +103,8 @@
     metrics: Metrics,
     capacity: Capacity,
     refusing: Mutex<Refusing>,
+    /// Cancelled once nothing more is written to the log.
+    log_closed: CancellationToken,
 }
 
 /// Openers that are refused, as last logged.
@@ -151,17 +153,29 @@
             metrics,
             capacity: settings.capacity,
             refusing: Mutex::default(),
+            log_closed: CancellationToken::new(),
         };
         let node = Node { shared: Arc::new(shared) };
         let listener = listen_socket(settings.listen, BACKLOG)
             .map_err(|err| NodeError::Listen(settings.listen, err))?;
-        tokio::spawn(write_commits(node.clone(), log, queue, stop.clone()));
+        let writing = write_commits(node.clone(), log, queue, stop.clone());
+        let closing = node.shared.log_closed.clone().drop_guard();
+        tokio::spawn(async move {
+            let _closing = closing;
+            writing.await;
+        });
         tokio::spawn(stop.clone().run_until_cancelled_owned(node.clone().expire()));
         let accepting = serve::accept(node.clone(), listener, stop.clone());
         tokio::spawn(stop.run_until_cancelled_owned(accepting));
         Ok(node)
     }
 
+    /// Waits until a stopped instance writes no more to its log, so that the
+    /// folder can be opened again.
+    pub async fn log_closed(&self) {
+        self.shared.log_closed.cancelled().await;
+    }
+
     /// Identity of the instance's disk.
     pub fn disk(&self) -> u64 {
         self.shared.disk
