--- a/review/tests/standins/src/list_gap.rs
+++ b/review/tests/standins/src/list_gap.rs
@@ -51,25 +51,24 @@
     // All requests before the restart may use the replica.
     thread::sleep(Duration::from_secs(3));
     let leaving = deployment.replicas[0].clone();
-    let changes = vec![
-        Change { kind: "servers".into(), name: leaving.name.clone(), spec: None },
-        Change {
-            kind: "config".into(),
-            name: "main".into(),
-            spec: Some(configuration(2, SERVICE)),
-        },
-    ];
+    let removal = Change { kind: "servers".into(), name: leaving.name.clone(), spec: None };
+    let version = Change {
+        kind: "config".into(),
+        name: "main".into(),
+        spec: Some(configuration(2, SERVICE)),
+    };
     if has_trouble {
         deployment.ledgers[0].stop(GRACE);
-        store.change_after_page("servers", changes);
+        store.change_between_pages("servers", removal, vec![version]);
         thread::sleep(DOWN_TIME);
         deployment.ledgers[0].start(false);
         let until = Instant::now() + LIST_TIMEOUT;
-        while !store.has_changed_after_page() && Instant::now() < until {
+        while !store.has_changed_between_pages() && Instant::now() < until {
             thread::sleep(Duration::from_millis(1));
         }
     } else {
-        changes.iter().for_each(|change| store.change(change));
+        store.change(&removal);
+        store.change(&version);
     }
     let removed_at = Instant::now();
     record.say(&format!("removed replica={}", leaving.name));
--- a/review/tests/standins/src/lost_disk.rs
+++ b/review/tests/standins/src/lost_disk.rs
@@ -20,8 +20,10 @@
 /// `contact-ms` + `catch-up-s` + `contact-ms`.
 const CALM_TIME: Duration = Duration::from_millis(12_000);
 
-/// Time from the request to empty one machine to the loss of another one's disk.
-const LOSS_DELAY: Duration = Duration::from_millis(20);
+/// Longest wait for the change of the layout that empties the machine. The other
+/// one loses its disk while the change is in progress, which lasts as long as the
+/// copies take.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Returns whether the rules held.
 pub fn run(deployment: &mut Deployment, has_trouble: bool) -> bool {
@@ -29,7 +31,7 @@
     serve_programs(deployment, "before", &mut kept);
     if has_trouble {
         retire::request(deployment, 0);
-        thread::sleep(LOSS_DELAY);
+        await_change(deployment);
         lose_disk(deployment, 1);
     }
     let returned_at = Instant::now();
@@ -45,6 +47,16 @@
     check_recovery(deployment, &kept, served)
 }
 
+/// Waits until a change of the layout is in progress.
+fn await_change(deployment: &Deployment) {
+    let until = Instant::now() + CHANGE_TIMEOUT;
+    let layout = || deployment.store.spec("gg-ledgers", "layout");
+    while layout()["partitions"][0]["next"].is_null() && Instant::now() < until {
+        thread::sleep(Duration::from_millis(1));
+    }
+    deployment.record.say(&format!("layout={}", layout()));
+}
+
 /// Ends a machine, which comes back with an empty disk.
 pub fn lose_disk(deployment: &mut Deployment, number: usize) {
     deployment.ledgers[number].kill();
--- a/review/tests/standins/src/store.rs
+++ b/review/tests/standins/src/store.rs
@@ -20,21 +20,27 @@
 /// Time that an answer takes.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
-/// Time between two changes that follow a page.
-const CHANGE_PAUSE: Duration = Duration::from_millis(2);
-
 #[derive(Default)]
 struct State {
     revision: u64,
     objects: BTreeMap<(String, String), Value>,
     /// All changes: revision, kind, object, and whether it was removed.
     changes: Vec<(u64, String, Value, bool)>,
-    /// Changes to make once a page of this kind with more to follow was read.
-    after_page: Option<(String, Vec<Change>)>,
+    /// Changes to make while a list of this kind is between two pages.
+    between_pages: Option<BetweenPages>,
     /// The store is down until then: it leaves every call unanswered.
     down_until: Option<Instant>,
 }
 
+/// Changes to make while a list is between two pages.
+struct BetweenPages {
+    kind: String,
+    /// Made as soon as a page was read.
+    first: Option<Change>,
+    /// Made before the next page is read.
+    others: Vec<Change>,
+}
+
 /// A change of an object by the operator or a replica.
 #[derive(Clone)]
 pub struct Change {
@@ -77,12 +83,6 @@
         changed.notify_all();
     }
 
-    /// Makes these changes, [`CHANGE_PAUSE`] apart, as soon as a page of a list of
-    /// `kind` was read that is not the last one.
-    pub fn change_after_page(&self, kind: &str, changes: Vec<Change>) {
-        self.state.0.lock().expect("lock").after_page = Some((kind.into(), changes));
-    }
-
     /// Changes an object, and is down from then on for this time. Answers that are
     /// due meanwhile are lost, those to watches that wait for the change too, and a
     /// channel on which one was lost returns nothing further.
@@ -100,9 +100,16 @@
         down_until.is_some_and(|until| Instant::now() < until)
     }
 
-    /// Whether the changes of [`Store::change_after_page`] were made.
-    pub fn has_changed_after_page(&self) -> bool {
-        self.state.0.lock().expect("lock").after_page.is_none()
+    /// Makes the first change as soon as a page of a list of `kind` was read that is
+    /// not the last one, and the others before the next page is read.
+    pub fn change_between_pages(&self, kind: &str, first: Change, others: Vec<Change>) {
+        let changes = BetweenPages { kind: kind.into(), first: Some(first), others };
+        self.state.0.lock().expect("lock").between_pages = Some(changes);
+    }
+
+    /// Whether the changes of [`Store::change_between_pages`] were made.
+    pub fn has_changed_between_pages(&self) -> bool {
+        self.state.0.lock().expect("lock").between_pages.is_none()
     }
 
     pub fn status(&self, kind: &str, name: &str) -> Value {
@@ -159,14 +166,8 @@
                 }
                 None => {
                     let after = parameter("after").map_or("", |(_, after)| after);
-                    let (page, changes) = state.lock().expect("lock").page(kind, after);
-                    let store = self.clone();
-                    thread::spawn(move || {
-                        for change in changes {
-                            store.change(&change);
-                            thread::sleep(CHANGE_PAUSE);
-                        }
-                    });
+                    let page = state.lock().expect("lock").page(kind, after);
+                    changed.notify_all();
                     ("200 OK", page)
                 }
             },
@@ -234,16 +235,25 @@
         object
     }
 
-    /// A page of a list, and the changes to make after it.
-    fn page(&mut self, kind: &str, after: &str) -> (Value, Vec<Change>) {
+    fn page(&mut self, kind: &str, after: &str) -> Value {
+        let is_next = |changes: &mut BetweenPages| {
+            changes.kind == kind && changes.first.is_none() && !after.is_empty()
+        };
+        if let Some(BetweenPages { others, .. }) = self.between_pages.take_if(is_next) {
+            others.iter().for_each(|change| self.change(change));
+        }
         let of_kind =
             self.objects.iter().filter(|((found, name), _)| found == kind && &**name > after);
         let mut items: Vec<Value> = of_kind.map(|(_, object)| object.clone()).collect();
         let has_more = items.len() > PAGE_ITEMS;
         items.truncate(PAGE_ITEMS);
         let page = json!({"items": items, "has-more": has_more, "as-of": self.revision});
-        let changes = self.after_page.take_if(|(waiting, _)| has_more && waiting == kind);
-        (page, changes.map(|(_, changes)| changes).unwrap_or_default())
+        let waiting =
+            self.between_pages.as_mut().filter(|changes| has_more && changes.kind == kind);
+        if let Some(first) = waiting.and_then(|changes| changes.first.take()) {
+            self.change(&first);
+        }
+        page
     }
 
     fn events(&self, kind: &str, from: u64) -> Vec<Value> {
