--- a/review/tests/standins/src/list_gap.rs
+++ b/review/tests/standins/src/list_gap.rs
@@ -27,6 +27,9 @@
 /// `drain-ms` and longer, "at times many seconds".
 const CHECK_TIME: Duration = Duration::from_secs(10);
 
+/// Clients of each gateway.
+const CLIENTS: usize = 4;
+
 /// Time between the end of a process and its next start.
 const DOWN_TIME: Duration = Duration::from_millis(1_000);
 
@@ -72,13 +75,19 @@
     }
     let removed_at = Instant::now();
     record.say(&format!("removed replica={}", leaving.name));
-    while removed_at.elapsed() < CHECK_TIME {
-        for gateway in deployment.fronts() {
+    let deployment = &*deployment;
+    let send_calls = &|gateway| {
+        while removed_at.elapsed() < CHECK_TIME {
             let id = deployment.client.id();
             deployment.client.send(gateway, "GET", "/call/x", &id, "", "");
+            thread::sleep(Duration::from_millis(20));
         }
-        thread::sleep(Duration::from_millis(20));
-    }
+    };
+    thread::scope(|scope| {
+        for gateway in deployment.fronts() {
+            (0..CLIENTS).for_each(|_| drop(scope.spawn(move || send_calls(gateway))));
+        }
+    });
     let late = removed_at + DRAIN_TIME + MARGIN;
     let runs = leaving.runs();
     let late_runs = runs.iter().filter(|run| run.at >= late).count();
--- a/review/tests/standins/src/replica.rs
+++ b/review/tests/standins/src/replica.rs
@@ -19,6 +19,9 @@
 pub const TURN_EVENTS: u32 = 10;
 const EVENT_PAUSE: Duration = Duration::from_millis(4);
 
+/// Work of a call, as in the users' tables.
+const CALL_TIME: Duration = Duration::from_millis(13);
+
 /// A request that the replica has run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -95,6 +98,7 @@
         self.runs.lock().expect("lock").push(run);
         let headers = format!("Request-Id: {id}\r\nServer-Signature: {}.{id}\r\n", self.name);
         if !request.word(1).starts_with("/turn/") {
+            thread::sleep(CALL_TIME);
             let body = format!("done {id}");
             return write_response(socket, "200 OK", &headers, body.as_bytes());
         }
