Ledger layout: decide by need, and report a removal only if the rest bear a loss

Callers got 503 for 4.8 s, and for good after the next loss: one store machine was emptied while another lost its disk, and the set kept the lost disk as a third member.

Cause: the plan replaced the first member in the order of the set, so a member that still held its data took the only standby from one whose data was gone; nothing removed a lost disk without a standby; a change whose learner had lost its disk was given up after four timeouts; `completed` only asked whether the layout still named the machine.

Change: members leave by need (disk lost, silent, drained). A lost disk without a standby leaves the set if the rest are live and at least tolerated + 1; otherwise its instance's new disk takes its place even while it is drained. A change is given up at once if a learner's disk is lost, or if it keeps a lost disk in the set for a lesser need; after one timeout instead of four if its silent learner stops all writes. `completed` needs every member of each set live, over a connected link. The layout controller's parts that this touches are files of their own: abandonment, removal, their reports, changes in progress, state of the directory.

--- a/crates/gg-ledger/src/layout_controller.rs
+++ b/crates/gg-ledger/src/layout_controller.rs
@@ -9,22 +9,24 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use gg_platform::{
-    Change, DirectoryUpdate, Entry, FollowSettings, Kind, MirrorUpdate, Outages, PlatformError,
+    DirectoryUpdate, FollowSettings, Kind, MirrorUpdate, Outages, PlatformError,
     follow_unless_fresh,
 };
 use gg_protocol::Name;
 use gg_route::Deployment;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use rand::seq::SliceRandom;
 use tokio::{sync::Notify, time};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    LAYOUT_NAME, Layout, LayoutPlan, LedgerSet, Member, Node, Registration, ReplacementTimeouts,
+    LAYOUT_NAME, Layout, LayoutPlan, Member, Node, Registration, ReplacementTimeouts,
+    directory_state::DirectoryState,
     link::{Link, Scope},
     links::Links,
     node::lock,
     protocol::{Op, ReplyBody},
+    removal_reports::RemovalReports,
     sources::{KINDS, Source, watchers},
 };
 
@@ -70,13 +72,6 @@
 /// Scope of requests that belong to no partition.
 const NO_PARTITION: Scope = Scope { partition: 0, epoch: 0 };
 
-/// Timeout of a status request to another instance.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// A change is abandoned when a learner has been silent this many times longer
-/// than a member that is replaced. Waiting costs little until then.
-const ABANDON_FACTOR: u32 = 4;
-
 /// Factor by which the registration wait grows while fewer instances are
 /// registered than a full member set has.
 const REGISTRATION_WAIT_FACTOR: u32 = 4;
@@ -95,29 +90,15 @@
 pub struct LayoutController<D> {
     settings: LayoutControllerSettings,
     directory: D,
-    node: Node,
+    pub(crate) node: Node,
     state: Mutex<DirectoryState>,
-    links: Mutex<Links>,
+    pub(crate) links: Mutex<Links>,
     sources: [Source; KINDS.len()],
     outages: Outages,
+    reports: RemovalReports,
     changed: Notify,
 }
 
-/// Last known state of the directory.
-#[derive(Debug, Default)]
-struct DirectoryState {
-    layout: Option<(u64, Layout)>,
-    registered: IndexMap<Name, Registration>,
-    /// Instances that are being drained.
-    draining: IndexSet<Name>,
-    /// When this instance's registration was first known to be in the
-    /// directory.
-    registered_at: Option<Instant>,
-    /// Drain status of this instance as last reported to the operators.
-    reported_empty: Option<bool>,
-    is_listed: bool,
-}
-
 impl<D: Deployment> LayoutController<D> {
     /// Creates the controller of `node`. Its links close when `stop` is
     /// cancelled.
@@ -136,6 +117,7 @@
             links,
             sources: KINDS.map(Source::new),
             outages: Outages::default(),
+            reports: RemovalReports::default(),
             changed: Notify::new(),
         }
     }
@@ -276,67 +258,16 @@
         }
         self.node.mirror().apply(source.kind, &update);
         match source.kind {
-            Kind::Ledgers => self.apply_ledgers(update),
-            Kind::Removals => self.apply_removals(update),
+            Kind::Ledgers => {
+                let layout = self.state().apply_ledgers(update);
+                layout.into_iter().for_each(|layout| self.node.set_layout(layout));
+            }
+            Kind::Removals => self.state().apply_removals(update),
             Kind::Configuration | Kind::Upstreams => return,
         }
         self.changed.notify_one();
     }
 
-    fn apply_ledgers(&self, update: DirectoryUpdate) {
-        let mut state = self.state();
-        match update {
-            DirectoryUpdate::Snapshot(_, entries) => {
-                state.registered.clear();
-                state.is_listed = true;
-                entries.iter().for_each(|entry| self.apply_entry(&mut state, entry));
-            }
-            DirectoryUpdate::Changes(_, changes) => {
-                for change in changes {
-                    match change {
-                        Change::Put(entry) => self.apply_entry(&mut state, &entry),
-                        Change::Removed(name) => {
-                            state.registered.shift_remove(name.as_str());
-                        }
-                    }
-                }
-            }
-            DirectoryUpdate::Lost(_) => {}
-        }
-    }
-
-    /// Applies an entry. The source's filter has logged those that can't be read.
-    fn apply_entry(&self, state: &mut DirectoryState, entry: &Entry) {
-        if entry.name == LAYOUT_NAME {
-            if let Ok(layout) = serde_json::from_slice::<Layout>(&entry.body) {
-                self.node.set_layout(layout.clone());
-                state.layout = Some((entry.revision, layout));
-            }
-            return;
-        }
-        if let Ok(registration) = serde_json::from_slice::<Registration>(&entry.body) {
-            state.registered.insert(entry.name.as_str().into(), registration);
-        }
-    }
-
-    fn apply_removals(&self, update: DirectoryUpdate) {
-        let mut state = self.state();
-        match update {
-            DirectoryUpdate::Snapshot(_, entries) => {
-                state.draining = entries.iter().map(|entry| entry.name.as_str().into()).collect();
-            }
-            DirectoryUpdate::Changes(_, changes) => {
-                for change in changes {
-                    match change {
-                        Change::Put(entry) => state.draining.insert(entry.name.as_str().into()),
-                        Change::Removed(name) => state.draining.shift_remove(name.as_str()),
-                    };
-                }
-            }
-            DirectoryUpdate::Lost(_) => {}
-        }
-    }
-
     /// Reconciles the layout after each change and at regular intervals.
     async fn reconcile_loop(&self) {
         loop {
@@ -362,7 +293,6 @@
         let Some((revision, layout)) = layout else {
             return self.create_layout().await;
         };
-        self.report_removal(&layout, &draining).await?;
         let plan = LayoutPlan {
             layout: &layout,
             registered: &registered,
@@ -370,8 +300,9 @@
             silence: |member: &Member| self.silence(member),
             replacement: self.settings.replacement,
         };
+        self.report_removal(&plan).await?;
         let mut changes = plan.changes(self.node.disk());
-        changes.extend(self.advance_changes(&layout).await);
+        changes.extend(self.advance_changes(&plan).await);
         if changes.is_empty() {
             return Ok(());
         }
@@ -399,6 +330,31 @@
         lock(&self.links).get(member.disk).map_or(Duration::ZERO, |link| link.silence())
     }
 
+    /// Time since a member's last reply; without end if it isn't connected.
+    fn proven_silence(&self, member: &Member) -> Duration {
+        if member.disk == self.node.disk() {
+            return Duration::ZERO;
+        }
+        let links = lock(&self.links);
+        let link = links.get(member.disk).filter(|link| link.is_up());
+        link.map_or(Duration::MAX, |link| link.silence())
+    }
+
+    /// Reports whether this instance may be taken away, if it is being drained.
+    async fn report_removal<S: Fn(&Member) -> Duration>(
+        &self,
+        plan: &LayoutPlan<'_, S>,
+    ) -> Result<(), PlatformError> {
+        let own_name = &self.settings.member.instance;
+        if !plan.draining.contains(own_name) {
+            self.reports.withdraw();
+            return Ok(());
+        }
+        let silence = |member: &Member| self.proven_silence(member);
+        let block = plan.with_silence(silence).removal_block(own_name);
+        self.reports.report(&self.directory, own_name, block).await
+    }
+
     /// Writes this instance's registration unless the directory already holds
     /// it.
     async fn register(
@@ -496,109 +452,6 @@
             Err(err) => Err(err),
         }
     }
-
-    /// Completes changes in progress, or abandons those whose learner is lost.
-    async fn advance_changes(&self, layout: &Layout) -> Vec<(usize, LedgerSet)> {
-        let mut changes = Vec::new();
-        for (number, set) in layout.partitions.iter().enumerate() {
-            if set.next.is_none() {
-                continue;
-            }
-            let partition = number as u16;
-            self.ensure_copied(partition, set).await;
-            if self.is_copied(partition, set).await {
-                changes.push((number, set.finish()));
-            } else if self.is_learner_lost(set) {
-                log::warn!("event=layout_change_abandoned partition={partition}");
-                changes.push((number, set.abandon()));
-            }
-        }
-        changes
-    }
-
-    /// Copies a partition that this instance is to hold.
-    async fn ensure_copied(&self, partition: u16, set: &LedgerSet) {
-        let is_learner = set.learners().iter().any(|member| member.disk == self.node.disk());
-        if !is_learner || self.has_copied(partition, set) {
-            return;
-        }
-        match self.node.copy_partition(partition, set).await {
-            Ok(()) => log::info!("event=ledger_copied partition={partition} epoch={}", set.epoch),
-            Err(err) => log::warn!("event=ledger_copy_failed partition={partition} error={err}"),
-        }
-    }
-
-    fn has_copied(&self, partition: u16, set: &LedgerSet) -> bool {
-        self.node.store().copied(partition).is_some_and(|epoch| epoch >= set.epoch)
-    }
-
-    /// Whether this instance is the one that completes the change, and all
-    /// learners have copied the partition.
-    async fn is_copied(&self, partition: u16, set: &LedgerSet) -> bool {
-        let learners = set.learners();
-        let is_finisher = learners.first().is_some_and(|member| member.disk == self.node.disk());
-        if !is_finisher {
-            return false;
-        }
-        for member in learners {
-            let copied = match member.disk == self.node.disk() {
-                true => self.has_copied(partition, set),
-                false => self.query_copied(member, partition, set).await,
-            };
-            if !copied {
-                return false;
-            }
-        }
-        true
-    }
-
-    async fn query_copied(&self, member: &Member, partition: u16, set: &LedgerSet) -> bool {
-        let Some(link) = lock(&self.links).get(member.disk).cloned() else { return false };
-        let call = link.call(Scope { partition, epoch: set.epoch }, Op::Status);
-        match time::timeout(STATUS_TIMEOUT, call).await {
-            Ok(Ok(ReplyBody::Status { copied })) => copied.is_some_and(|epoch| epoch >= set.epoch),
-            other => {
-                log::info!("event=learner_silent instance={} answer={other:?}", member.instance);
-                false
-            }
-        }
-    }
-
-    /// Whether a learner has been silent for too long. Only a current member
-    /// that reaches a read quorum decides this, as it is not cut off itself.
-    fn is_learner_lost(&self, set: &LedgerSet) -> bool {
-        let timeout = self.settings.replacement.idle;
-        let is_reachable = |member: &&Member| self.silence(member) <= timeout;
-        let reachable: Vec<u64> =
-            set.members.iter().filter(is_reachable).map(|member| member.disk).collect();
-        let learners = set.learners();
-        let mut learners = learners.iter();
-        set.contains_disk(self.node.disk())
-            && set.has_read_quorum(&reachable)
-            && learners.any(|member| self.silence(member) > timeout * ABANDON_FACTOR)
-    }
-
-    /// Reports the drain status of this instance to the operators. It is empty
-    /// only when no partition includes it any more.
-    async fn report_removal(
-        &self,
-        layout: &Layout,
-        draining: &IndexSet<Name>,
-    ) -> Result<(), PlatformError> {
-        let own_name = &self.settings.member.instance;
-        if !draining.contains(own_name) {
-            return Ok(());
-        }
-        let is_empty = !layout.members().iter().any(|member| member.instance == *own_name);
-        if self.state().reported_empty.is_some_and(|reported| reported || reported == is_empty) {
-            return Ok(());
-        }
-        let status = self.directory.removal_status(is_empty);
-        self.directory.write_status(Kind::Removals, own_name, status).await?;
-        log::info!("event=removal_told is_empty={is_empty}");
-        self.state().reported_empty = Some(is_empty);
-        Ok(())
-    }
 }
 
 fn to_body<T: serde::Serialize>(value: &T) -> Bytes {
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -6,12 +6,15 @@
 //! sees every acknowledged entry. The member sets are stored in the platform's
 //! directory and change in two steps ([`LedgerSet`]).
 
+mod abandonment;
 mod account;
 mod capacity;
 mod chains;
+mod change_progress;
 mod client;
 mod commits;
 mod crashes;
+mod directory_state;
 mod encoding;
 mod entry;
 mod entry_filter;
@@ -32,12 +35,15 @@
 mod protocol;
 mod pull;
 mod recovery;
+mod removal;
+mod removal_reports;
 mod segment;
 mod serve;
 mod set;
 mod sources;
 mod view;
 
+pub use abandonment::Abandonment;
 pub use account::LastRun;
 pub use capacity::{Capacity, Opener, Usage};
 pub use client::{Ledger, OpenRequest, OpenedTurn, TurnKey};
@@ -56,6 +62,7 @@
 pub use plan::{LayoutPlan, ReplacementTimeouts};
 pub use poll::{PollReply, PollTunnels};
 pub use polling_clients::{OverloadReport, PollingClients, TunnelOffer};
+pub use removal::RemovalBlock;
 pub use segment::{Location, StoredContent, StoredEntry};
 pub use set::{LAYOUT_NAME, Layout, LedgerSet, Member, Registration};
 pub use sources::watchers;
--- a/crates/gg-ledger/src/set.rs
+++ b/crates/gg-ledger/src/set.rs
@@ -132,6 +132,12 @@
         2 * self.tolerated + 1
     }
 
+    /// Smallest number of members that bears the loss of `tolerated` disks. All
+    /// of them have to hold every write.
+    pub fn smallest_size(&self) -> usize {
+        self.tolerated + 1
+    }
+
     /// Number of members that must hold a write: one more than may be lost.
     pub fn write_quorum(&self, size: usize) -> usize {
         (self.tolerated + 1).min(size)
