Give copies of the directory an age

A copy was called current or not, by its owner's last call; nothing said how old it was, nor how old it had become over several hops.

Confirmed is the moment at which the confirming call was sent. Its age is added over hops: a peer sends the age of its copy, and the reader counts from when it sent its request. Later confirmations win; None is older than any. Nothing uses it yet.

--- /dev/null
+++ b/crates/gg-platform/src/confirmed.rs
@@ -0,0 +1,29 @@
+//! How old a copy of the directory is, over any number of hops.
+
+use std::time::{Duration, Instant};
+
+/// Moment up to which a copy is known to hold every acknowledged change: that at
+/// which the confirming call to the directory was sent. A later moment counts as
+/// more recent, and no confirmation (`None`) as older than any.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Confirmed(Instant);
+
+impl Confirmed {
+    /// Confirmation by a linearizable call to the directory that was sent at
+    /// `sent`.
+    pub fn at(sent: Instant) -> Self {
+        Confirmed(sent)
+    }
+
+    /// Confirmation by a peer whose copy had this age when it replied. Instances
+    /// exchange ages because their clocks differ. The time of the reply isn't
+    /// known, so it counts from the request, which adds the time of the exchange.
+    pub fn from_peer(age: Duration, request_sent_at: Instant) -> Option<Self> {
+        request_sent_at.checked_sub(age).map(Confirmed)
+    }
+
+    /// Age of the copy.
+    pub fn age(self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.0)
+    }
+}
--- a/crates/gg-platform/src/lib.rs
+++ b/crates/gg-platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! directory, with functions that follow and mirror its entries.
 
 mod client;
+mod confirmed;
 mod directory;
 mod error;
 mod follow;
@@ -13,6 +14,7 @@
 mod types;
 
 pub use client::{Platform, PlatformSettings};
+pub use confirmed::Confirmed;
 pub use directory::{Change, Directory, Entry, Kind, Snapshot, UNREADABLE_BODY, Watched};
 pub use error::PlatformError;
 pub use follow::{DirectoryUpdate, FollowSettings, follow, follow_unless_fresh};
