--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -15,8 +15,8 @@
 
 use gg_ledger::{EntryFilter, LAYOUT_NAME, Registration};
 use gg_platform::{
-    Change, DirectoryUpdate, Entry, FRESH_TIME, FollowSettings, Freshness, Kind, MirrorUpdate,
-    Outages, follow_unless_fresh,
+    Change, Confirmed, CopyAges, DirectoryUpdate, Entry, FRESH_TIME, FollowContext, FollowSettings,
+    Freshness, Kind, MirrorUpdate, POLL_INTERVAL, POLL_SLOWDOWN, follow_unless_fresh,
 };
 use gg_route::Deployment;
 use rand::Rng;
@@ -31,16 +31,12 @@
 /// Kinds of directory entries that a gateway follows.
 const KINDS: [Kind; 3] = [Kind::Configuration, Kind::Upstreams, Kind::Ledgers];
 
-/// Interval between polls of the ledger instances; it adds to the delay of
-/// directory changes.
-const POLL_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Poll interval until a configuration and replicas are known, so that a
 /// restart completes sooner.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
-/// With more gateways than this, each one polls less often, down to half the
-/// rate. Its state then still stays fresh ([`FRESH_TIME`]) when one response is
+/// With more gateways than this, each one polls less often, down to the rate
+/// divided by [`POLL_SLOWDOWN`]. Its state then still stays fresh ([`FRESH_TIME`]) when one response is
 /// lost.
 const FULL_RATE_GATEWAYS: u32 = 120;
 
@@ -64,7 +60,8 @@
     revision: Mutex<u64>,
     freshness: Mutex<Freshness>,
     filter: Mutex<EntryFilter>,
-    outages: &'a Outages,
+    context: &'a FollowContext,
+    ages: CopyAges,
     is_directory_lost: AtomicBool,
 }
 
@@ -72,20 +69,22 @@
 pub(crate) async fn run<D: Deployment>(
     state: Arc<State<D>>,
     is_first_start: bool,
+    ages: CopyAges,
     stop: CancellationToken,
 ) {
     let ledger_delay = match is_first_start {
         true => FOUNDING_DELAY.mul_f64(rand::rng().random_range(1.0..2.0)),
         false => Duration::ZERO,
     };
-    let outages = Outages::default();
+    let context = FollowContext::default();
     let kinds = KINDS.map(|kind| FollowedKind {
         state: &state,
         kind,
         revision: Mutex::default(),
-        freshness: Mutex::default(),
+        freshness: Mutex::new(Freshness::new(ages.current)),
         filter: Mutex::new(EntryFilter::new(kind)),
-        outages: &outages,
+        context: &context,
+        ages,
         is_directory_lost: AtomicBool::new(false),
     });
     let [configuration, upstreams, ledgers] = &kinds;
@@ -117,7 +116,7 @@
             peers.extend(response.peers);
             for update in response.updates {
                 if let Some(followed) = kinds.iter().find(|followed| followed.kind == update.kind) {
-                    followed.apply_mirrored(update);
+                    followed.apply_mirrored(update, response.sent_at);
                 }
             }
         }
@@ -127,7 +126,7 @@
         let slowdown = f64::from(state.gateways()) / f64::from(FULL_RATE_GATEWAYS);
         let has_state = state.table().is_some() && state.fleet.is_usable();
         let pause = if has_state { POLL_INTERVAL } else { START_POLL_INTERVAL };
-        let pause = time::sleep(pause.mul_f64(slowdown.clamp(1.0, 2.0)));
+        let pause = time::sleep(pause.mul_f64(slowdown.clamp(1.0, f64::from(POLL_SLOWDOWN))));
         tokio::select! {
             () = pause => {}
             () = state.connector.peers_wanted() => {}
@@ -150,20 +149,33 @@
         // Once the ledger instances are listed, they soon report updates, and
         // the directory need not be watched.
         let watch_delay = if self.kind == Kind::Ledgers { FRESH_TIME } else { Duration::ZERO };
-        let settings = FollowSettings { watch_delay, ..FollowSettings::default() };
+        let check_interval = self.ages.check_interval;
+        let settings = FollowSettings { watch_delay, check_interval, ..FollowSettings::default() };
         let apply = |update| self.apply_direct(update);
         let directory = &self.state.deployment;
-        let (outages, freshness) = (self.outages, &self.freshness);
-        follow_unless_fresh(directory, self.kind, settings, outages, freshness, apply).await;
+        let (context, freshness) = (self.context, &self.freshness);
+        follow_unless_fresh(directory, self.kind, settings, context, freshness, apply).await;
     }
 
-    fn apply_mirrored(&self, update: MirrorUpdate) {
-        if lock(&self.freshness).record(update.is_current, Instant::now()) {
+    /// Applies an update of a ledger instance, in reply to a poll of `sent_at`.
+    fn apply_mirrored(&self, update: MirrorUpdate, sent_at: Instant) {
+        let confirmed = update.age.and_then(|age| Confirmed::from_peer(age, sent_at));
+        if lock(&self.freshness).record(update.is_current, confirmed, Instant::now()) {
             self.state.fleet.record_lost();
         }
         if let Some(entries) = update.entries {
             self.apply(DirectoryUpdate::Snapshot(update.revision, entries));
         }
+        if let Some(confirmed) = confirmed {
+            self.confirm(confirmed);
+        }
+    }
+
+    /// Records that the entries in use hold all that was acknowledged then.
+    fn confirm(&self, confirmed: Confirmed) {
+        if self.kind == Kind::Configuration {
+            self.state.confirm_configuration(confirmed);
+        }
     }
 
     fn apply_direct(&self, update: DirectoryUpdate) {
@@ -184,6 +196,10 @@
     /// Applies an update unless a newer one was already applied. Entries that
     /// can't be read are filtered out and logged.
     fn apply(&self, update: DirectoryUpdate) {
+        if let DirectoryUpdate::Confirmed(confirmed) = update {
+            self.confirm(confirmed);
+            return;
+        }
         if let DirectoryUpdate::Snapshot(revision, _) | DirectoryUpdate::Changes(revision, _) =
             &update
         {
@@ -241,6 +257,7 @@
                 }
             }
         }
+        DirectoryUpdate::Confirmed(_) => {}
         DirectoryUpdate::Lost(_) => state.fleet.record_lost(),
     }
 }
@@ -269,6 +286,6 @@
                 Change::Removed(_) => None,
             })
             .collect(),
-        DirectoryUpdate::Lost(_) => Vec::new(),
+        DirectoryUpdate::Confirmed(_) | DirectoryUpdate::Lost(_) => Vec::new(),
     }
 }
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -8,6 +8,7 @@
     NodeSettings, ReplacementTimeouts,
 };
 use gg_metrics::{Metrics, Registry, serve_metrics};
+use gg_platform::CopyAges;
 use gg_route::Deployment;
 use gg_settings::{GatewaySettings, LedgerSettings};
 use quick_error::quick_error;
@@ -75,7 +76,8 @@
         };
         tokio::spawn(serve_metrics(listen(address)?, registry, refresh, stop.child_token()));
     }
-    tokio::spawn(discovery::run(state.clone(), settings.is_first_start, stop.child_token()));
+    let ages = CopyAges::new(&settings.bounds);
+    tokio::spawn(discovery::run(state.clone(), settings.is_first_start, ages, stop.child_token()));
     tokio::spawn(ingress::serve_readiness(ready, state.clone(), stop.child_token()));
     let carried = TaskTracker::new();
     if let Some(address) = settings.tunnels {
@@ -169,6 +171,7 @@
             idle: settings.idle_timeout,
             busy: settings.busy_timeout,
         },
+        ages: CopyAges::new(&settings.bounds),
     };
     let controller = LayoutController::new(controller, deployment, node, stop.child_token());
     tokio::spawn(controller.run(stop.child_token()));
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -6,11 +6,13 @@
         Arc, Mutex, MutexGuard, RwLock,
         atomic::{AtomicBool, Ordering},
     },
+    time::{Duration, Instant},
 };
 
 use gg_dispatch::{Admission, RetryBudget};
 use gg_ledger::Ledger;
 use gg_metrics::Metrics;
+use gg_platform::Confirmed;
 use gg_protocol::Name;
 use gg_route::{Configuration, RouteTable};
 use tokio_util::sync::CancellationToken;
@@ -45,6 +47,8 @@
     /// Memory budget for buffered responses of replicas.
     pub(crate) buffer_budget: BufferBudget,
     table: RwLock<Option<Arc<RouteTable>>>,
+    /// Up to when the configuration in use is known to be the newest.
+    configuration_confirmed: Mutex<Option<Confirmed>>,
     is_stopping: AtomicBool,
     /// Cancelled when requests still in flight get their final answer, as the
     /// process is about to exit.
@@ -71,6 +75,7 @@
             programs: Mutex::default(),
             buffer_budget: BufferBudget::default(),
             table: RwLock::default(),
+            configuration_confirmed: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             last_call: CancellationToken::new(),
         }
@@ -98,6 +103,18 @@
         }
     }
 
+    /// Records that the configuration in use was the newest one.
+    pub(crate) fn confirm_configuration(&self, confirmed: Confirmed) {
+        let mut known = lock(&self.configuration_confirmed);
+        *known = known.max(Some(confirmed));
+    }
+
+    /// Age of the configuration in use: every version that was acknowledged longer
+    /// ago is in force here. `None` until it was confirmed once.
+    pub(crate) fn configuration_age(&self, now: Instant) -> Option<Duration> {
+        lock(&self.configuration_confirmed).map(|confirmed| confirmed.age(now))
+    }
+
     /// Number of gateways that share the replicas, including this one.
     pub(crate) fn gateways(&self) -> u32 {
         match self.ledger.clients() {
@@ -125,6 +142,9 @@
         ] {
             self.metrics.gauge(name, value, &[]);
         }
+        if let Some(age) = self.configuration_age(Instant::now()) {
+            self.metrics.gauge("configuration_age_ms", age.as_millis() as u64, &[]);
+        }
     }
 
     /// Whether this gateway should receive new connections. It should not while
--- a/crates/gg-ledger/src/entry_filter.rs
+++ b/crates/gg-ledger/src/entry_filter.rs
@@ -51,6 +51,7 @@
                 let read = |change| self.read_change(codec, change);
                 DirectoryUpdate::Changes(revision, changes.into_iter().filter_map(read).collect())
             }
+            DirectoryUpdate::Confirmed(confirmed) => DirectoryUpdate::Confirmed(confirmed),
             DirectoryUpdate::Lost(err) => DirectoryUpdate::Lost(err),
         }
     }
--- a/crates/gg-ledger/src/layout_controller.rs
+++ b/crates/gg-ledger/src/layout_controller.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use gg_platform::{
-    Change, DirectoryUpdate, Entry, FollowSettings, Kind, MirrorUpdate, Outages, PlatformError,
-    follow_unless_fresh,
+    Change, Confirmed, CopyAges, DirectoryUpdate, Entry, FollowContext, FollowSettings, Kind,
+    MirrorUpdate, POLL_INTERVAL, PlatformError, follow_unless_fresh,
 };
 use gg_protocol::Name;
 use gg_route::Deployment;
@@ -42,16 +42,14 @@
     pub registration_wait: Duration,
     /// When silent members are replaced.
     pub replacement: ReplacementTimeouts,
+    /// Ages that copies of the directory may reach.
+    pub ages: CopyAges,
 }
 
 /// Time between two reconciliations while nothing changes, and between two
 /// heartbeats.
 const RECONCILE_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Time between two polls of the directory watchers. It adds to the delay with
-/// which a change is noticed.
-const POLL_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Interval between polls until every kind has been received, so that a restart
 /// completes sooner.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -99,7 +97,7 @@
     state: Mutex<DirectoryState>,
     links: Mutex<Links>,
     sources: [Source; KINDS.len()],
-    outages: Outages,
+    context: FollowContext,
     changed: Notify,
 }
 
@@ -128,14 +126,16 @@
         stop: CancellationToken,
     ) -> Self {
         let links = Mutex::new(Links::new(Some(RECONCILE_INTERVAL), stop));
+        let max_age = settings.ages.current;
+        node.mirror().set_current_age(max_age);
         LayoutController {
             settings,
             directory,
             node,
             state: Mutex::default(),
             links,
-            sources: KINDS.map(Source::new),
-            outages: Outages::default(),
+            sources: KINDS.map(|kind| Source::new(kind, max_age)),
+            context: FollowContext::default(),
             changed: Notify::new(),
         }
     }
@@ -169,12 +169,13 @@
             let _ = time::timeout(STARTUP_WAIT, until_watcher).await;
         }
         let apply_directory_update = |update| self.apply_directory_update(source, update);
-        let settings = FollowSettings::default();
+        let check_interval = self.settings.ages.check_interval;
+        let settings = FollowSettings { check_interval, ..FollowSettings::default() };
         follow_unless_fresh(
             &self.directory,
             source.kind,
             settings,
-            &self.outages,
+            &self.context,
             &source.freshness,
             apply_directory_update,
         )
@@ -190,14 +191,16 @@
             let revisions: Vec<(Kind, u64)> =
                 self.sources.iter().map(|source| (source.kind, source.revision())).collect();
             let calls = self.poll_targets().into_iter().map(async |link| {
+                let sent_at = Instant::now();
                 let call = link.call(NO_PARTITION, Op::Mirror(revisions.clone()));
                 match time::timeout(POLL_TIMEOUT, call).await {
-                    Ok(Ok(ReplyBody::Mirror(updates))) => updates,
-                    _ => Vec::new(),
+                    Ok(Ok(ReplyBody::Mirror(updates))) => (sent_at, updates),
+                    _ => (sent_at, Vec::new()),
                 }
             });
-            let replies = join_all(calls).await;
-            replies.into_iter().flatten().for_each(|update| self.apply_mirror_update(update));
+            for (sent_at, updates) in join_all(calls).await {
+                updates.into_iter().for_each(|update| self.apply_mirror_update(update, sent_at));
+            }
         }
     }
 
@@ -235,23 +238,21 @@
         usable
     }
 
-    fn apply_mirror_update(&self, update: MirrorUpdate) {
+    /// Applies an update of another instance, in reply to a poll of `sent_at`.
+    fn apply_mirror_update(&self, update: MirrorUpdate, sent_at: Instant) {
         let Some(source) = self.sources.iter().find(|source| source.kind == update.kind) else {
             return;
         };
-        source.record_freshness(update.is_current);
-        match update.entries {
-            Some(entries) => self.apply_directory_update(
+        let confirmed = update.age.and_then(|age| Confirmed::from_peer(age, sent_at));
+        source.record_freshness(update.is_current, confirmed);
+        if let Some(entries) = update.entries {
+            self.apply_directory_update(
                 source,
                 DirectoryUpdate::Snapshot(update.revision, entries),
-            ),
-            // No changes, but the directory is reachable.
-            None if update.is_current => {
-                self.node
-                    .mirror()
-                    .apply(source.kind, &DirectoryUpdate::Changes(update.revision, Vec::new()));
-            }
-            None => {}
+            );
+        }
+        if let Some(confirmed) = confirmed.filter(|_| update.is_current) {
+            self.apply_directory_update(source, DirectoryUpdate::Confirmed(confirmed));
         }
     }
 
@@ -263,6 +264,10 @@
                     return;
                 }
             }
+            DirectoryUpdate::Confirmed(_) => {
+                self.node.mirror().apply(source.kind, &update);
+                return;
+            }
             DirectoryUpdate::Lost(err) => {
                 log::warn!("event=directory_lost kind={} error={err}", source.kind.as_str());
             }
@@ -301,7 +306,7 @@
                     }
                 }
             }
-            DirectoryUpdate::Lost(_) => {}
+            DirectoryUpdate::Confirmed(_) | DirectoryUpdate::Lost(_) => {}
         }
     }
 
@@ -333,7 +338,7 @@
                     };
                 }
             }
-            DirectoryUpdate::Lost(_) => {}
+            DirectoryUpdate::Confirmed(_) | DirectoryUpdate::Lost(_) => {}
         }
     }
 
--- a/crates/gg-ledger/src/poll.rs
+++ b/crates/gg-ledger/src/poll.rs
@@ -27,6 +27,8 @@
 /// Reply of one instance to a poll.
 #[derive(Clone, Debug)]
 pub struct PollReply {
+    /// When the poll was sent.
+    pub sent_at: Instant,
     /// Directory updates.
     pub updates: Vec<MirrorUpdate>,
     /// Number of clients that polled the instance recently.
@@ -73,6 +75,7 @@
                 offer: tunnels.offer.clone(),
                 wants_peers: tunnels.wants_peers,
             };
+            let sent_at = Instant::now();
             match time::timeout(POLL_TIMEOUT, link.call(Scope::NO_PARTITION, op)).await {
                 Ok(Ok(ReplyBody::Poll {
                     updates,
@@ -83,7 +86,8 @@
                     peers,
                 })) => {
                     self.apply_crash_updates(&link, sent, &crashes);
-                    Some(PollReply { updates, clients: polling_clients, overload, limits, peers })
+                    let clients = polling_clients;
+                    Some(PollReply { sent_at, updates, clients, overload, limits, peers })
                 }
                 _ => None,
             }
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -5,7 +5,7 @@
 //! that were added later follow the message: versions that don't know them
 //! ignore what follows, and their own messages end without it.
 
-use std::io;
+use std::{io, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures::SinkExt;
@@ -174,7 +174,7 @@
     Pong,
     /// Reply to [`Op::Poll`].
     Poll {
-        /// Directory updates.
+        /// Directory updates. Their ages are a trailing field.
         updates: Vec<MirrorUpdate>,
         /// Clients that polled this instance recently.
         polling_clients: u32,
@@ -187,7 +187,7 @@
         /// Some offers of tunnels, if the client asked for them.
         peers: Vec<TunnelOffer>,
     },
-    /// Reply to [`Op::Mirror`].
+    /// Reply to [`Op::Mirror`]. The ages of the updates are a trailing field.
     Mirror(Vec<MirrorUpdate>),
     /// Reply to [`Op::Permit`].
     Permit(PermitReply),
@@ -250,6 +250,9 @@
     match &reply.body {
         ReplyBody::Opened { has_gap: true, .. } => encode(reply, Some(&true)),
         ReplyBody::PullChunk { ages_ms, .. } => encode(reply, Some(ages_ms)),
+        ReplyBody::Poll { updates, .. } | ReplyBody::Mirror(updates) => {
+            encode(reply, copy_ages(updates).as_ref())
+        }
         _ => encode(reply, None::<&()>),
     }
 }
@@ -278,11 +281,25 @@
     match &mut reply.body {
         ReplyBody::Opened { has_gap, .. } => *has_gap = trailing(rest)?.unwrap_or_default(),
         ReplyBody::PullChunk { ages_ms, .. } => *ages_ms = trailing(rest)?.unwrap_or_default(),
+        ReplyBody::Poll { updates, .. } | ReplyBody::Mirror(updates) => {
+            let ages: Vec<Option<u32>> = trailing(rest)?.unwrap_or_default();
+            for (update, age_ms) in updates.iter_mut().zip(ages) {
+                update.age = age_ms.map(|ms| Duration::from_millis(ms.into()));
+            }
+        }
         _ => {}
     }
     Ok(reply)
 }
 
+/// Ages of the copies behind directory updates in ms, rounded up; `None` if none is
+/// known.
+fn copy_ages(updates: &[MirrorUpdate]) -> Option<Vec<Option<u32>>> {
+    let age_ms = |age: Duration| u32::try_from(age.as_micros().div_ceil(1_000)).ok();
+    let ages: Vec<_> = updates.iter().map(|update| update.age.and_then(age_ms)).collect();
+    ages.iter().any(Option::is_some).then_some(ages)
+}
+
 /// Decodes a trailing field; `None` if the message has none.
 fn trailing<T: DeserializeOwned>(rest: &[u8]) -> Result<Option<T>, FrameError> {
     match rest {
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -141,7 +141,7 @@
         }
         Op::Ping => send_reply(replies, id, ReplyBody::Pong).await,
         Op::Poll { from, known, overload, crashes, offer, wants_peers } => {
-            let updates = node.mirror().updates(&known);
+            let updates = node.mirror().updates(&known, Instant::now());
             let (polling_clients, overload) = node.record_poll(from.clone(), overload);
             let crashes = node.exchange_crashes(&from, crashes);
             let peers = node.exchange_offers(&from, offer, wants_peers);
@@ -154,7 +154,7 @@
             .await;
         }
         Op::Mirror(known) => {
-            let updates = node.mirror().updates(&known);
+            let updates = node.mirror().updates(&known, Instant::now());
             send_reply(replies, id, ReplyBody::Mirror(updates)).await;
         }
         Op::Permit(request) => {
--- a/crates/gg-ledger/src/sources.rs
+++ b/crates/gg-ledger/src/sources.rs
@@ -2,9 +2,12 @@
 //! the others poll them, so that the load on the directory doesn't grow with the
 //! number of instances. Performs no I/O.
 
-use std::{sync::Mutex, time::Instant};
+use std::{
+    sync::Mutex,
+    time::{Duration, Instant},
+};
 
-use gg_platform::{Freshness, Kind};
+use gg_platform::{Confirmed, Freshness, Kind};
 use gg_protocol::Name;
 
 use crate::{EntryFilter, node::lock};
@@ -36,9 +39,12 @@
 }
 
 impl Source {
-    pub(crate) fn new(kind: Kind) -> Self {
+    /// The updates of other instances are fresh while their copy is younger than
+    /// `max_age`.
+    pub(crate) fn new(kind: Kind, max_age: Duration) -> Self {
         let filter = Mutex::new(EntryFilter::new(kind));
-        Source { kind, freshness: Mutex::default(), filter, revision: Mutex::default() }
+        let freshness = Mutex::new(Freshness::new(max_age));
+        Source { kind, freshness, filter, revision: Mutex::default() }
     }
 
     /// Latest known revision.
@@ -61,8 +67,8 @@
         *lock(&self.revision) = 0;
     }
 
-    /// Records whether another instance is up to date.
-    pub(crate) fn record_freshness(&self, is_current: bool) {
-        lock(&self.freshness).record(is_current, Instant::now());
+    /// Records whether another instance is up to date, and its confirmation.
+    pub(crate) fn record_freshness(&self, is_current: bool, confirmed: Option<Confirmed>) {
+        lock(&self.freshness).record(is_current, confirmed, Instant::now());
     }
 }
--- a/crates/gg-ledger/tests/formats.rs
+++ b/crates/gg-ledger/tests/formats.rs
@@ -410,6 +410,50 @@
     assert_eq!(unknown, [], "requests that 735404d did not send");
 }
 
+/// The ages of an instance's copies follow its reply. An instance of 735404d sends
+/// none, which is not an age of zero.
+#[tokio::test]
+async fn ages_of_copies() {
+    let stop = CancellationToken::new();
+    let _stop = stop.clone().drop_guard();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback port");
+    let address = listener.local_addr().expect("bound address");
+    let ages: [Option<Vec<Option<u32>>>; 3] =
+        [None, Some(vec![Some(1_500), None]), Some(vec![Some(7)])];
+    let sent = ages.clone();
+    tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
+        let (socket, _) = listener.accept().await.expect("accepted");
+        let mut connection = framed(socket);
+        let mut ages = sent.iter();
+        while let Some(Ok(frame)) = connection.next().await {
+            let (id, _, _, _, op): Request = postcard::from_bytes(&frame).expect("a request");
+            let updates = vec![(0, 9, true, None), (1, 9, true, None)];
+            let reply = match op {
+                Op::Ping => postcard::to_allocvec(&(id, Body::Pong)),
+                _ => {
+                    let none = (1, 0, Vec::new());
+                    let body = Body::Poll(updates, 1, Vec::new(), none, Vec::new(), Vec::new());
+                    let reply = postcard::to_allocvec(&(id, body)).expect("encoded");
+                    match ages.next().expect("a poll for each reply") {
+                        None => Ok(reply),
+                        Some(ages) => postcard::to_extend(ages, reply),
+                    }
+                }
+            };
+            connection.send(Bytes::from(reply.expect("encoded"))).await.expect("sent");
+        }
+    }));
+    let ledger = connect(address, &stop).await;
+    for sent in ages {
+        let polled = ledger.poll(&[], &Vec::new(), &PollTunnels::default()).await;
+        let found: Vec<_> = polled[0].updates.iter().map(|update| update.age).collect();
+        let ms = |age: Option<u32>| age.map(|ms| Duration::from_millis(ms.into()));
+        let mut expected: Vec<_> = sent.unwrap_or_default().into_iter().map(ms).collect();
+        expected.resize(2, None);
+        assert_eq!(found, expected);
+    }
+}
+
 /// 735404d ignores what follows a message or an entry, so fields are added there.
 #[test]
 fn trailing_fields() {
--- /dev/null
+++ b/crates/gg-platform/src/copy_ages.rs
@@ -0,0 +1,69 @@
+//! Ages that copies of the directory may reach. They follow from the deployment's
+//! bounds and from the time that an update takes from hop to hop; the sum is in
+//! docs/design/freshness.md.
+
+use std::time::Duration;
+
+use gg_protocol::DirectoryBounds;
+
+/// Interval at which instances that don't follow the directory poll those that
+/// do, and at which gateways poll ledger instances.
+pub const POLL_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Factor by which the interval grows with many gateways.
+pub const POLL_SLOWDOWN: u32 = 2;
+
+/// Time of a short call to the directory.
+const CALL_TIME: Duration = Duration::from_millis(100);
+
+/// Time of a poll, with what it waits for at a busy instance.
+const EXCHANGE_TIME: Duration = Duration::from_millis(25);
+
+/// Time from a call of a follower until what it returns is in use at each gateway:
+/// the call, a poll by a ledger instance that doesn't follow the directory, and a
+/// poll by a gateway.
+pub const DELIVERY_TIME: Duration = CALL_TIME
+    .saturating_add(POLL_INTERVAL)
+    .saturating_add(EXCHANGE_TIME)
+    .saturating_add(POLL_INTERVAL.saturating_mul(POLL_SLOWDOWN))
+    .saturating_add(EXCHANGE_TIME);
+
+/// Time in which an instance whose sources are out of date lists the directory
+/// itself.
+pub const OWN_LIST_TIME: Duration = Duration::from_millis(500);
+
+/// Shortest interval between checks, whatever the bounds.
+const CHECK_INTERVAL_MIN: Duration = Duration::from_millis(250);
+
+/// Longest interval between checks where withdrawn keys have to be refused in
+/// time. The age of a copy decides there whether requests are refused.
+const STRICT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Ages that follow from the bounds of a deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyAges {
+    /// Time after which a follower checks that it has missed nothing.
+    pub check_interval: Duration,
+    /// Age from which on a copy no longer counts as current, so that its readers
+    /// look for another source.
+    pub current: Duration,
+}
+
+impl CopyAges {
+    /// Ages with which the bounds are kept.
+    pub fn new(bounds: &DirectoryBounds) -> Self {
+        let refused = bounds.revocation.unwrap_or(Duration::MAX);
+        let current = bounds.recovery.min(refused).saturating_sub(OWN_LIST_TIME);
+        let change = bounds.apply.min(bounds.drain);
+        let check_interval =
+            current.min(change).saturating_sub(DELIVERY_TIME).max(CHECK_INTERVAL_MIN);
+        let longest = bounds.revocation.map_or(Duration::MAX, |_| STRICT_CHECK_INTERVAL);
+        CopyAges { check_interval: check_interval.min(longest), current }
+    }
+}
+
+impl Default for CopyAges {
+    fn default() -> Self {
+        CopyAges::new(&DirectoryBounds::default())
+    }
+}
--- a/crates/gg-platform/src/follow.rs
+++ b/crates/gg-platform/src/follow.rs
@@ -10,18 +10,20 @@
 use tokio::time;
 
 use crate::{
-    Change, Directory, Entry, FRESH_TIME, Freshness, Kind, Outages, PlatformError, Watched,
+    Change, Confirmed, CopyAges, Directory, Entry, FRESH_TIME, Freshness, Kind, PlatformError,
+    Watched, outages::Outages, revision_check::RevisionCheck,
 };
 
 /// Intervals and delays used while following a kind.
 #[derive(Clone, Copy, Debug)]
 pub struct FollowSettings {
-    /// Maximum duration of one watch of a kind that affects how requests are
-    /// handled: configuration and replicas. A longer wait needs fewer calls,
-    /// which are billed, but a lost response goes unnoticed for this long.
+    /// Maximum duration of one watch. A longer wait needs fewer calls, which are
+    /// billed; the directory allows 30 s.
     pub wait: Duration,
-    /// Maximum duration of one watch of the other kinds.
-    pub idle_wait: Duration,
+    /// Time since the last confirmation after which it is checked, beside the
+    /// watch, that no change was missed. A lost response goes unnoticed for this
+    /// long.
+    pub check_interval: Duration,
     /// Delay after a watch that returned changes, so that changes in quick
     /// succession are fetched with one call. Adds up to this delay to updates.
     pub batch_delay: Duration,
@@ -39,8 +41,8 @@
 impl Default for FollowSettings {
     fn default() -> Self {
         FollowSettings {
-            wait: Duration::from_secs(4),
-            idle_wait: Duration::from_secs(10),
+            wait: Duration::from_secs(25),
+            check_interval: CopyAges::default().check_interval,
             batch_delay: Duration::from_millis(250),
             watch_delay: Duration::ZERO,
             retry_delay: Duration::from_millis(50),
@@ -56,10 +58,32 @@
     Snapshot(u64, Vec<Entry>),
     /// Changes since the last update, up to a revision.
     Changes(u64, Vec<Change>),
+    /// The updates so far hold all that the directory had acknowledged then.
+    Confirmed(Confirmed),
     /// The directory can't be reached. The last known state stays in use.
     Lost(PlatformError),
 }
 
+/// What the followers of all kinds in a process share.
+#[derive(Debug, Default)]
+pub struct FollowContext {
+    outages: Outages,
+    check: RevisionCheck,
+}
+
+/// How far a follower has got.
+#[derive(Clone, Copy, Debug)]
+struct Position {
+    /// Revision up to which all changes are known.
+    revision: u64,
+    /// When the last call that confirmed this was sent.
+    sent_at: Instant,
+}
+
+/// Revision to continue from, `None` to list the entries again, and the update, if
+/// there is one.
+type Called = (Option<u64>, Option<DirectoryUpdate>);
+
 /// Follows `kind` until the future is dropped and passes each update to
 /// `on_update`. Lists the entries again when an outage ends that another
 /// follower noticed.
@@ -67,29 +91,38 @@
     directory: &D,
     kind: Kind,
     settings: FollowSettings,
-    outages: &Outages,
+    context: &FollowContext,
     mut on_update: impl FnMut(DirectoryUpdate),
 ) {
     let mut retry_delay = settings.retry_delay;
-    let mut revision = None;
+    let mut position: Option<Position> = None;
     loop {
-        let wait = settings.wait_for(kind);
+        let revision = position.map(|position| position.revision);
+        let sent_at = now();
         let called = tokio::select! {
-            called = list_or_watch(directory, kind, wait, revision) => called,
-            () = outages.next_end() => {
+            called = list_or_watch(directory, kind, settings.wait, revision) => {
+                called.map(|called| (sent_at, called))
+            }
+            missed = missed_changes(
+                directory, kind, settings, context, &mut position, &mut on_update,
+            ) => missed,
+            () = context.outages.next_end() => {
                 log::info!("event=watch_restarted kind={}", kind.as_str());
-                revision = None;
+                position = None;
                 continue;
             }
         };
-        outages.record(!matches!(called, Err(PlatformError::Unavailable(_))));
+        context.outages.record(!matches!(called, Err(PlatformError::Unavailable(_))));
         match called {
-            Ok((next, update)) => {
+            Ok((sent_at, (next, update))) => {
                 retry_delay = settings.retry_delay;
-                revision = next;
                 let has_changes = matches!(&update, Some(DirectoryUpdate::Changes(_, changes)) if !changes.is_empty());
                 let is_list = matches!(&update, Some(DirectoryUpdate::Snapshot(..)));
                 update.into_iter().for_each(&mut on_update);
+                position = next.map(|revision| Position { revision, sent_at }.or_later(position));
+                if let Some(Position { sent_at, .. }) = position {
+                    on_update(DirectoryUpdate::Confirmed(Confirmed::at(sent_at)));
+                }
                 if has_changes {
                     time::sleep(settings.batch_delay).await;
                 } else if is_list {
@@ -99,7 +132,7 @@
             Err(err) => {
                 // Changes missed by a failed watch may be discarded from the
                 // history before a retry, so only a new list is reliable.
-                revision = None;
+                position = None;
                 on_update(DirectoryUpdate::Lost(err));
                 let jitter = rand::rng().random_range(0.5..1.5);
                 time::sleep(retry_delay.mul_f64(jitter)).await;
@@ -109,39 +142,92 @@
     }
 }
 
-impl FollowSettings {
-    fn wait_for(&self, kind: Kind) -> Duration {
-        match kind {
-            Kind::Configuration | Kind::Upstreams => self.wait,
-            Kind::Ledgers | Kind::Removals => self.idle_wait,
+impl Position {
+    /// Keeps what a check has moved on beside the watch.
+    fn or_later(self, other: Option<Position>) -> Position {
+        let Some(other) = other else { return self };
+        Position {
+            revision: self.revision.max(other.revision),
+            sent_at: self.sent_at.max(other.sent_at),
+        }
+    }
+}
+
+/// Checks at intervals that a watch has missed nothing, and resolves with what it
+/// has missed: its answer is lost, or late. Never resolves before the entries are
+/// listed.
+async fn missed_changes<D: Directory>(
+    directory: &D,
+    kind: Kind,
+    settings: FollowSettings,
+    context: &FollowContext,
+    position: &mut Option<Position>,
+    on_update: &mut impl FnMut(DirectoryUpdate),
+) -> Result<(Instant, Called), PlatformError> {
+    let Some(position) = position else { return std::future::pending().await };
+    let interval = settings.check_interval;
+    loop {
+        time::sleep_until((position.sent_at + interval).into()).await;
+        // The checks of the kinds fall due at about the same time.
+        let (revision, sent_at) = context.check.revision(directory, interval / 2).await?;
+        context.outages.record(true);
+        if revision > position.revision {
+            // The change may be one of another kind.
+            let sent_at = now();
+            let called =
+                list_or_watch(directory, kind, Duration::ZERO, Some(position.revision)).await?;
+            match called {
+                (Some(next), Some(DirectoryUpdate::Changes(_, changes))) if changes.is_empty() => {
+                    *position = Position { revision: next, sent_at }.or_later(Some(*position));
+                }
+                missed => {
+                    log::info!(
+                        "event=changes_missed kind={} revision={}",
+                        kind.as_str(),
+                        position.revision
+                    );
+                    return Ok((sent_at, missed));
+                }
+            }
+        } else {
+            position.sent_at = sent_at.max(position.sent_at);
         }
+        on_update(DirectoryUpdate::Confirmed(Confirmed::at(position.sent_at)));
     }
 }
 
+/// Current time. Follows the virtual time of tests.
+pub(crate) fn now() -> Instant {
+    time::Instant::now().into_std()
+}
+
 /// Follows `kind` while no other source reports up-to-date entries, until the
 /// future is dropped.
 pub async fn follow_unless_fresh<D: Directory>(
     directory: &D,
     kind: Kind,
     settings: FollowSettings,
-    outages: &Outages,
+    context: &FollowContext,
     freshness: &Mutex<Freshness>,
     mut on_update: impl FnMut(DirectoryUpdate),
 ) {
-    let has_fresh_source =
-        || freshness.lock().unwrap_or_else(PoisonError::into_inner).is_fresh(Instant::now());
+    let remaining = || freshness.lock().unwrap_or_else(PoisonError::into_inner).remaining(now());
     loop {
-        while has_fresh_source() {
-            time::sleep(FRESH_TIME).await;
+        loop {
+            let remaining = remaining();
+            if remaining.is_zero() {
+                break;
+            }
+            time::sleep(remaining).await;
         }
         log::info!("event=directory_followed kind={}", kind.as_str());
         let until_fresh = async {
-            while !has_fresh_source() {
+            while remaining().is_zero() {
                 time::sleep(FRESH_TIME / 2).await;
             }
         };
         tokio::select! {
-            () = follow(directory, kind, settings, outages, &mut on_update) => {}
+            () = follow(directory, kind, settings, context, &mut on_update) => {}
             () = until_fresh => {}
         }
     }
@@ -153,7 +239,7 @@
     kind: Kind,
     wait: Duration,
     revision: Option<u64>,
-) -> Result<(Option<u64>, Option<DirectoryUpdate>), PlatformError> {
+) -> Result<Called, PlatformError> {
     let Some(revision) = revision else {
         let snapshot = directory.snapshot(kind).await?;
         log::info!(
--- a/crates/gg-platform/src/freshness.rs
+++ b/crates/gg-platform/src/freshness.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::Confirmed;
+
 /// Without an up-to-date response for this long, the directory is queried directly.
 pub const FRESH_TIME: Duration = Duration::from_millis(1_000);
 
@@ -10,23 +12,44 @@
 /// A single source may lose its connection to the directory. This must not count
 /// as an outage: during an outage, entries that expire stay in use for a while,
 /// so draining replicas would receive requests for too long.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Freshness {
+    max_age: Duration,
     current_at: Option<Instant>,
+    confirmed: Option<Confirmed>,
 }
 
 impl Freshness {
-    /// Records a response. Returns whether the directory must be considered
-    /// unreachable for all sources.
-    pub fn record(&mut self, is_current: bool, now: Instant) -> bool {
+    /// Sources are fresh while their copy is younger than `max_age`.
+    pub fn new(max_age: Duration) -> Self {
+        Freshness { max_age, current_at: None, confirmed: None }
+    }
+
+    /// Records a response and the confirmation of its copy, unless the source has
+    /// none. Returns whether the directory must be considered unreachable for all
+    /// sources.
+    pub fn record(&mut self, is_current: bool, confirmed: Option<Confirmed>, now: Instant) -> bool {
         if is_current {
             self.current_at = Some(now);
+            self.confirmed = self.confirmed.max(confirmed);
         }
-        !self.is_fresh(now)
+        self.since_current(now) >= FRESH_TIME
     }
 
-    /// Whether an up-to-date source responded within [`FRESH_TIME`].
+    /// Whether an up-to-date source responded within [`FRESH_TIME`], and its copy is
+    /// not too old.
     pub fn is_fresh(&self, now: Instant) -> bool {
-        self.current_at.is_some_and(|at| now.saturating_duration_since(at) < FRESH_TIME)
+        !self.remaining(now).is_zero()
+    }
+
+    /// Time for which the sources stay fresh without a further response.
+    pub fn remaining(&self, now: Instant) -> Duration {
+        let Some(confirmed) = self.confirmed else { return Duration::ZERO };
+        let young = self.max_age.saturating_sub(confirmed.age(now));
+        young.min(FRESH_TIME.saturating_sub(self.since_current(now)))
+    }
+
+    fn since_current(&self, now: Instant) -> Duration {
+        self.current_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
     }
 }
--- a/crates/gg-platform/src/lib.rs
+++ b/crates/gg-platform/src/lib.rs
@@ -4,22 +4,24 @@
 
 mod client;
 mod confirmed;
+mod copy_ages;
 mod directory;
 mod error;
 mod follow;
 mod freshness;
 mod mirror;
 mod outages;
+mod revision_check;
 mod store;
 mod types;
 
 pub use client::{Platform, PlatformSettings};
 pub use confirmed::Confirmed;
+pub use copy_ages::{CopyAges, DELIVERY_TIME, OWN_LIST_TIME, POLL_INTERVAL, POLL_SLOWDOWN};
 pub use directory::{Change, Directory, Entry, Kind, Snapshot, UNREADABLE_BODY, Watched};
 pub use error::PlatformError;
-pub use follow::{DirectoryUpdate, FollowSettings, follow, follow_unless_fresh};
+pub use follow::{DirectoryUpdate, FollowContext, FollowSettings, follow, follow_unless_fresh};
 pub use freshness::{FRESH_TIME, Freshness};
 pub use mirror::{Mirror, MirrorUpdate};
-pub use outages::Outages;
 pub use store::ObjectStore;
 pub use types::{Changes, InstanceInfo, InstanceKind, InstanceState, Item, Listing, Object, When};
--- a/crates/gg-platform/src/mirror.rs
+++ b/crates/gg-platform/src/mirror.rs
@@ -1,15 +1,19 @@
 //! Copy of directory entries that serves clients which don't follow the
 //! directory themselves.
 
+use std::time::{Duration, Instant};
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{Change, DirectoryUpdate, Entry, Kind};
+use crate::{Change, Confirmed, CopyAges, DirectoryUpdate, Entry, Kind};
 
 /// Copies of directory entries, by kind.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Mirror {
     kinds: IndexMap<Kind, KindCopy>,
+    /// Age from which on a copy is not called current.
+    current_age: Duration,
 }
 
 /// Copy of the entries of one kind.
@@ -18,8 +22,9 @@
     /// Revision of the last change to the entries.
     revision: u64,
     entries: IndexMap<String, Entry>,
-    /// Whether the last update was not [`DirectoryUpdate::Lost`].
-    is_current: bool,
+    confirmed: Option<Confirmed>,
+    /// Whether the directory can't be reached since the last confirmation.
+    is_lost: bool,
 }
 
 /// An update that a mirror returns for one kind.
@@ -29,17 +34,32 @@
     pub kind: Kind,
     /// Revision of the last change to the entries.
     pub revision: u64,
-    /// Whether the directory counts as reachable for the owner of the mirror.
+    /// Whether the directory counts as reachable for the owner of the mirror, and
+    /// the copy was confirmed in time.
     pub is_current: bool,
     /// All entries, if there are newer ones than the polling client knows.
     pub entries: Option<Vec<Entry>>,
+    /// Time since the call that confirmed the copy was sent. Unknown if it was never
+    /// confirmed, or the owner's version doesn't tell. Sent behind the updates.
+    #[serde(skip)]
+    pub age: Option<Duration>,
+}
+
+impl Default for Mirror {
+    fn default() -> Self {
+        Mirror { kinds: IndexMap::new(), current_age: CopyAges::default().current }
+    }
 }
 
 impl Mirror {
+    /// Sets the age from which on a copy is not called current.
+    pub fn set_current_age(&mut self, age: Duration) {
+        self.current_age = age;
+    }
+
     /// Applies an update of a kind.
     pub fn apply(&mut self, kind: Kind, update: &DirectoryUpdate) {
         let copy = self.kinds.entry(kind).or_default();
-        copy.is_current = !matches!(update, DirectoryUpdate::Lost(_));
         match update {
             DirectoryUpdate::Snapshot(revision, entries) => {
                 let entries = entries.iter().map(|entry| (entry.name.clone(), entry.clone()));
@@ -62,21 +82,27 @@
                     }
                 }
             }
-            DirectoryUpdate::Lost(_) => {}
+            DirectoryUpdate::Confirmed(confirmed) => {
+                copy.confirmed = copy.confirmed.max(Some(*confirmed));
+                copy.is_lost = false;
+            }
+            DirectoryUpdate::Lost(_) => copy.is_lost = true,
         }
     }
 
     /// Returns the updates for a polling client that knows these kinds up to these
     /// revisions.
-    pub fn updates(&self, known: &[(Kind, u64)]) -> Vec<MirrorUpdate> {
+    pub fn updates(&self, known: &[(Kind, u64)], now: Instant) -> Vec<MirrorUpdate> {
         let update = |(kind, known): &(Kind, u64)| {
             let copy = self.kinds.get(kind)?;
             let is_newer = copy.revision > *known;
+            let age = copy.confirmed.map(|confirmed| confirmed.age(now));
             Some(MirrorUpdate {
                 kind: *kind,
                 revision: copy.revision,
-                is_current: copy.is_current,
+                is_current: !copy.is_lost && age.is_some_and(|age| age < self.current_age),
                 entries: is_newer.then(|| copy.entries.values().cloned().collect()),
+                age,
             })
         };
         known.iter().filter_map(update).collect()
--- a/crates/gg-platform/src/outages.rs
+++ b/crates/gg-platform/src/outages.rs
@@ -6,7 +6,7 @@
 /// Notices when the directory responds again after calls were left unanswered.
 /// Shared by the followers of all kinds in a process.
 #[derive(Debug)]
-pub struct Outages {
+pub(crate) struct Outages {
     state: watch::Sender<State>,
 }
 
--- a/crates/gg-platform/tests/outages.rs
+++ b/crates/gg-platform/tests/outages.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use gg_platform::{
-    Directory, DirectoryUpdate, FollowSettings, Kind, Outages, PlatformError, Snapshot, Watched,
-    follow,
+    Directory, DirectoryUpdate, FollowContext, FollowSettings, Kind, PlatformError, Snapshot,
+    Watched, follow,
 };
 use tokio::time::{self, Instant};
 
@@ -98,19 +98,15 @@
 /// follower finds the directory back, not when the watch would have ended.
 #[tokio::test(start_paused = true)]
 async fn unanswered_watch_is_restarted() {
-    let (directory, outages) = (SilentDirectory::default(), Outages::default());
-    let settings = FollowSettings {
-        wait: Duration::from_secs(20),
-        idle_wait: Duration::from_secs(1),
-        ..FollowSettings::default()
-    };
+    let (directory, context) = (SilentDirectory::default(), FollowContext::default());
+    let settings = FollowSettings { wait: Duration::from_secs(20), ..FollowSettings::default() };
     let seen = Mutex::new(None);
-    let configuration = follow(&directory, Kind::Configuration, settings, &outages, |update| {
+    let configuration = follow(&directory, Kind::Configuration, settings, &context, |update| {
         if let DirectoryUpdate::Snapshot(2, _) = update {
             seen.lock().expect("lock").get_or_insert_with(Instant::now);
         }
     });
-    let removals = follow(&directory, Kind::Removals, settings, &outages, |_| {});
+    let removals = follow(&directory, Kind::Removals, settings, &context, |_| {});
     let script = async {
         time::sleep(Duration::from_millis(500)).await;
         directory.set_out(true);
--- a/crates/gg-protocol/src/lib.rs
+++ b/crates/gg-protocol/src/lib.rs
@@ -1,6 +1,8 @@
-//! Types shared by all crates: identifiers, configuration documents, messages
-//! between daemons, overload statistics, and the failures that callers receive.
+//! Types shared by all crates: identifiers, bounds of a deployment, configuration
+//! documents, messages between daemons, overload statistics, and the failures that
+//! callers receive.
 
+pub mod bounds;
 pub mod chat;
 pub mod clock;
 pub mod config;
@@ -11,6 +13,7 @@
 pub mod step;
 pub mod view;
 
+pub use bounds::DirectoryBounds;
 pub use chat::{ChatCall, Message, Usage};
 pub use config::{Customer, Doc, Document, Entry, Model, Profile, Rank, Upstream, UpstreamKind};
 pub use failure::{Code, Failure, Ran};
--- a/crates/gg-settings/src/daemon.rs
+++ b/crates/gg-settings/src/daemon.rs
@@ -166,8 +166,13 @@
             Ok(ini) => ini,
             Err(err) => return Err(Faults(vec![syntax_fault(file, &err)])),
         };
+        DaemonSettings::read(file, &ini)
+    }
+
+    /// Reads the settings from a parsed file.
+    pub(crate) fn read(file: &str, ini: &Ini) -> Result<Self, Faults> {
         let faults = RefCell::new(Vec::new());
-        check_sections(file, &ini, &SECTIONS, &faults);
+        check_sections(file, ini, &SECTIONS, &faults);
         let section = |name| Section::new(file, name, ini.section(Some(name)), &faults);
         let settings = read_settings(&section);
         let faults = faults.into_inner();
--- a/crates/gg-settings/src/lib.rs
+++ b/crates/gg-settings/src/lib.rs
@@ -6,10 +6,12 @@
 mod configuration;
 mod daemon;
 mod fault;
+mod key_value;
 mod node;
 mod section;
 
 pub use configuration::{Draft, parse_configuration, print_document};
 pub use daemon::{DaemonSettings, ListenSettings, LogSettings, SAMPLE, TimingSettings};
 pub use fault::{Fault, Faults};
+pub use key_value::KeyValue;
 pub use node::{DirectorySettings, GatewaySettings, LedgerSettings, Settings};
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -3,10 +3,10 @@
 
 use std::{cell::RefCell, net::SocketAddr, path::PathBuf, time::Duration};
 
-use gg_protocol::Name;
+use gg_protocol::{DirectoryBounds, Name};
 use ini::Ini;
 
-use crate::{DaemonSettings, Fault, Faults, daemon::syntax_fault, section::Section};
+use crate::{DaemonSettings, Fault, Faults, KeyValue, daemon::syntax_fault, section::Section};
 
 /// Sections that the settings of a gateway or ledger may have.
 const SECTIONS: [&str; 5] = ["instance", "directory", "gateway", "ledger", "log"];
@@ -23,6 +23,12 @@
 /// on disk, before another instance could copy it.
 const BUSY_REPLACE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Largest bound on how soon the directory is followed, in ms.
+const BOUND_MAX_MS: f64 = 3_600_000.0;
+
+/// Time in which withdrawn keys are refused, unless the settings have one.
+const REVOCATION: Duration = Duration::from_secs(5);
+
 /// Connection to the platform's directory.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DirectorySettings {
@@ -52,6 +58,8 @@
     pub stop_timeout: Duration,
     /// Whether this is the first start of the whole deployment.
     pub is_first_start: bool,
+    /// Bounds on how soon the directory is followed.
+    pub bounds: DirectoryBounds,
     /// Address of the metrics listener, if metrics are served.
     pub metrics: Option<SocketAddr>,
 }
@@ -86,6 +94,8 @@
     pub disk_bytes: u64,
     /// Maximum memory for turns and accounts, in bytes.
     pub memory_limit: usize,
+    /// Bounds on how soon the directory is followed.
+    pub bounds: DirectoryBounds,
     /// Address of the metrics listener, if metrics are served.
     pub metrics: Option<SocketAddr>,
 }
@@ -110,14 +120,20 @@
     /// `gateway` or `ledger` selects the role of the process; without one, it is a
     /// daemon.
     pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
-        let ini = match Ini::load_from_str(text) {
+        Settings::parse_with(file, text, &[])
+    }
+
+    /// Like [`Settings::parse`], with keys that don't come from the file.
+    pub fn parse_with(file: &str, text: &str, keys: &[KeyValue]) -> Result<Self, Faults> {
+        let mut ini = match Ini::load_from_str(text) {
             Ok(ini) => ini,
             Err(err) => return Err(Faults(vec![syntax_fault(file, &err)])),
         };
+        keys.iter().for_each(|key| key.set_in(&mut ini));
         let is_gateway = ini.section(Some("gateway")).is_some();
         let is_ledger = ini.section(Some("ledger")).is_some();
         if !is_gateway && !is_ledger {
-            return DaemonSettings::parse(file, text).map(Box::new).map(Settings::Daemon);
+            return DaemonSettings::read(file, &ini).map(Box::new).map(Settings::Daemon);
         }
         let faults = RefCell::new(Vec::new());
         crate::daemon::check_sections(file, &ini, &SECTIONS, &faults);
@@ -131,7 +147,7 @@
             });
         }
         let section = |name| Section::new(file, name, ini.section(Some(name)), &faults);
-        let directory = read_directory(section("directory"));
+        let (directory, bounds) = read_directory(section("directory"));
         let log = crate::daemon::read_log(section("log"));
         let instance = section("instance");
         let name = crate::daemon::instance_name(&instance, "name");
@@ -139,10 +155,12 @@
         instance.finish();
         let settings = if is_gateway {
             let mut gateway = read_gateway(section("gateway"), name, centre);
+            gateway.bounds = bounds;
             gateway.metrics = log.metrics.parse().ok();
             Settings::Gateway(gateway, directory, log)
         } else {
             let mut ledger = read_ledger(section("ledger"), name, centre);
+            ledger.bounds = bounds;
             ledger.metrics = log.metrics.parse().ok();
             Settings::Ledger(ledger, directory, log)
         };
@@ -151,11 +169,23 @@
     }
 }
 
-fn read_directory(section: Section<'_>) -> DirectorySettings {
+fn read_directory(section: Section<'_>) -> (DirectorySettings, DirectoryBounds) {
     let address = section.required("address", "an IP address and port");
     let timeout = section.millis("timeout_ms", Duration::from_millis(1_000), 50, 60_000);
+    let default = DirectoryBounds::default();
+    let bound = |key, default: Duration| {
+        let ms = section.number(key, default.as_secs_f64() * 1e3, 1.0, BOUND_MAX_MS);
+        Duration::from_secs_f64(ms / 1e3)
+    };
+    let bounds = DirectoryBounds {
+        apply: bound("apply_ms", default.apply),
+        drain: bound("drain_ms", default.drain),
+        recovery: bound("recovery_ms", default.recovery),
+        revocation: Some(bound("revocation_ms", REVOCATION))
+            .filter(|_| section.flag("strict_revocation", false)),
+    };
     section.finish();
-    DirectorySettings { address, timeout }
+    (DirectorySettings { address, timeout }, bounds)
 }
 
 fn read_gateway(section: Section<'_>, instance: Name, centre: Name) -> GatewaySettings {
@@ -168,6 +198,7 @@
         connections: section.number("connections", 2_000, 1, 65_536),
         stop_timeout: Duration::from_secs_f64(section.number("grace_s", 8.0, 1.0, 600.0)),
         is_first_start: section.flag("founding", false),
+        bounds: DirectoryBounds::default(),
         metrics: None,
     };
     section.finish();
@@ -200,6 +231,7 @@
             mb => mb << 20,
         },
         memory_limit: memory_limit(section.number("memory_mb", 0, 0, 1 << 30)),
+        bounds: DirectoryBounds::default(),
         metrics: None,
     };
     section.finish();
--- a/crates/gg-settings/src/section.rs
+++ b/crates/gg-settings/src/section.rs
@@ -73,12 +73,13 @@
         Duration::from_millis(self.number(key, default.as_millis() as u64, min, max))
     }
 
-    /// Returns `true` for `yes` and `false` for `no`, or `default`.
+    /// Returns `true` for `yes` or `true` and `false` for `no` or `false`, or
+    /// `default`.
     pub(crate) fn flag(&self, key: &'static str, default: bool) -> bool {
         match self.text(key) {
             None => default,
-            Some("yes") => true,
-            Some("no") => false,
+            Some("yes" | "true") => true,
+            Some("no" | "false") => false,
             Some(other) => {
                 self.fault(key, other, "yes or no");
                 default
--- a/crates/gg-settings/tests/files.rs
+++ b/crates/gg-settings/tests/files.rs
@@ -1,7 +1,11 @@
 //! Parsing of settings and configuration files.
 
-use gg_protocol::{Document, Profile, Rank};
-use gg_settings::{DaemonSettings, SAMPLE, parse_configuration, print_document};
+use std::time::Duration;
+
+use gg_protocol::{DirectoryBounds, Document, Profile, Rank};
+use gg_settings::{
+    DaemonSettings, KeyValue, SAMPLE, Settings, parse_configuration, print_document,
+};
 use proptest::prelude::*;
 
 #[test]
@@ -94,3 +98,43 @@
         let _ = parse_configuration("x", &text);
     }
 }
+
+/// Keys of the command line take the place of the file's; those without a value are
+/// left out, and wrong ones are faults like any.
+#[test]
+fn keys_of_command_line() {
+    let text = "[instance]\nname = a\ndata_centre = north\n\
+                [directory]\naddress = 127.0.0.1:1\napply_ms = 900\n\
+                [gateway]\nclients = 127.0.0.1:2\nready = 127.0.0.1:3\n";
+    let parse = |keys: &[&str]| {
+        let keys: Vec<KeyValue> = keys.iter().map(|key| key.parse().expect("a key")).collect();
+        Settings::parse_with("a.ini", text, &keys)
+    };
+    let bounds = |keys: &[&str]| match parse(keys) {
+        Ok(Settings::Gateway(gateway, ..)) => gateway.bounds,
+        other => panic!("{other:?}"),
+    };
+    let ms = Duration::from_millis;
+    let default = DirectoryBounds { apply: ms(900), ..DirectoryBounds::default() };
+    assert_eq!(bounds(&[]), default);
+    assert_eq!(bounds(&["directory.apply_ms=", "directory.strict_revocation="]), default);
+    let set =
+        ["directory.apply_ms=4000", "directory.drain_ms=2500.5", "directory.recovery_ms=5000"];
+    let set = [&set[..], &["directory.revocation_ms=6000"]].concat();
+    let lax = DirectoryBounds {
+        apply: ms(4_000),
+        drain: Duration::from_micros(2_500_500),
+        recovery: ms(5_000),
+        revocation: None,
+    };
+    assert_eq!(bounds(&set), lax);
+    let strict = [&set[..], &["directory.strict_revocation=true"]].concat();
+    assert_eq!(bounds(&strict), DirectoryBounds { revocation: Some(ms(6_000)), ..lax });
+    for fault in ["directory.apply_ms=soon", "directory.apply=1", "other.key=1"] {
+        let faults = parse(&[fault]).expect_err(fault).0;
+        assert_eq!(faults.len(), 1, "{fault}: {faults:?}");
+    }
+    for text in ["apply_ms=1", "directory.apply_ms", ".key=1", "directory.=1"] {
+        assert!(text.parse::<KeyValue>().is_err(), "{text}");
+    }
+}
--- a/src/bin/greengageforkd.rs
+++ b/src/bin/greengageforkd.rs
@@ -7,7 +7,7 @@
 use gg_daemon::{run_until_signal, stop_on_signal};
 use gg_gateway::{run_gateway, run_ledger};
 use gg_log::init_logs;
-use gg_settings::{DirectorySettings, LogSettings, SAMPLE, Settings};
+use gg_settings::{DirectorySettings, Faults, KeyValue, LogSettings, SAMPLE, Settings};
 use mimalloc::MiMalloc;
 use tokio::{
     runtime::Builder,
@@ -35,11 +35,29 @@
     #[argh(switch)]
     sample: bool,
 
+    /// key of the settings as SECTION.KEY=VALUE, in place of the file's; without a
+    /// value it is ignored
+    #[argh(option)]
+    set: Vec<KeyValue>,
+
     /// settings file
     #[argh(positional)]
     file: Option<String>,
 }
 
+/// Where the settings come from.
+#[derive(Clone, Debug)]
+struct Source {
+    file: String,
+    keys: Vec<KeyValue>,
+}
+
+impl Source {
+    fn parse(&self, text: &str) -> Result<Settings, Faults> {
+        Settings::parse_with(&self.file, text, &self.keys)
+    }
+}
+
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     if arguments.sample {
@@ -50,14 +68,16 @@
         eprintln!("error: specify a settings file or --sample");
         return ExitCode::from(EXIT_FAULTS);
     };
-    match load_settings(&file) {
-        Some(settings) => serve(settings, file),
+    let source = Source { file, keys: arguments.set };
+    match load_settings(&source) {
+        Some(settings) => serve(settings, source),
         None => ExitCode::from(EXIT_FAULTS),
     }
 }
 
 /// Loads the settings. On failure prints all faults.
-fn load_settings(file: &str) -> Option<Settings> {
+fn load_settings(source: &Source) -> Option<Settings> {
+    let file = &source.file;
     let text = match fs::read_to_string(file) {
         Ok(text) => text,
         Err(err) => {
@@ -65,7 +85,7 @@
             return None;
         }
     };
-    match Settings::parse(file, &text) {
+    match source.parse(&text) {
         Ok(settings) => Some(settings),
         Err(faults) => {
             eprint!("{faults}");
@@ -75,7 +95,7 @@
 }
 
 /// Runs the process in the role that the settings select.
-fn serve(settings: Settings, file: String) -> ExitCode {
+fn serve(settings: Settings, source: Source) -> ExitCode {
     let in_force = settings.clone();
     match settings {
         Settings::Daemon(settings) => {
@@ -87,7 +107,7 @@
         Settings::Gateway(settings, directory, log) => {
             let instance = settings.instance.clone();
             let gateway = async move {
-                let stop = handle_signals(file, in_force);
+                let stop = handle_signals(source, in_force);
                 run_gateway(settings, adapter(directory), stop).await
             };
             run(Builder::new_current_thread(), &log, &instance, gateway)
@@ -95,7 +115,7 @@
         Settings::Ledger(settings, directory, log) => {
             let instance = settings.instance.clone();
             let ledger = async move {
-                let stop = handle_signals(file, in_force);
+                let stop = handle_signals(source, in_force);
                 run_ledger(settings, adapter(directory), stop).await
             };
             run(Builder::new_current_thread(), &log, &instance, ledger)
@@ -105,16 +125,16 @@
 
 /// Starts the tasks that handle signals. Returns a token that is cancelled on
 /// SIGTERM and SIGINT.
-fn handle_signals(file: String, in_force: Settings) -> CancellationToken {
+fn handle_signals(source: Source, in_force: Settings) -> CancellationToken {
     let stop = CancellationToken::new();
     tokio::spawn(stop_on_signal(stop.clone()));
-    tokio::spawn(reload_on_hangup(file, in_force));
+    tokio::spawn(reload_on_hangup(source, in_force));
     stop
 }
 
 /// Reads the settings again on SIGHUP and logs the result. The process keeps its
 /// settings; changes take effect at the next start.
-async fn reload_on_hangup(file: String, in_force: Settings) {
+async fn reload_on_hangup(source: Source, in_force: Settings) {
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
         Err(err) => {
@@ -123,9 +143,9 @@
         }
     };
     while hangup.recv().await.is_some() {
-        let result = match fs::read_to_string(&file) {
+        let result = match fs::read_to_string(&source.file) {
             Err(err) => format!("unreadable error={err}"),
-            Ok(text) => match Settings::parse(&file, &text) {
+            Ok(text) => match source.parse(&text) {
                 Err(faults) => format!("faulty faults={:?}", faults.to_string()),
                 Ok(settings) if settings == in_force => "unchanged".into(),
                 Ok(_) => "changed, takes effect at the next start".into(),
