--- a/crates/gg-ledger/src/directory_state.rs
+++ b/crates/gg-ledger/src/directory_state.rs
@@ -47,7 +47,7 @@
                     }
                 }
             }
-            DirectoryUpdate::Lost(_) => {}
+            DirectoryUpdate::Confirmed(_) | DirectoryUpdate::Lost(_) => {}
         }
         layout
     }
@@ -79,7 +79,7 @@
                     };
                 }
             }
-            DirectoryUpdate::Lost(_) => {}
+            DirectoryUpdate::Confirmed(_) | DirectoryUpdate::Lost(_) => {}
         }
     }
 }
