Interface of client accounts

What the configuration says of client accounts is decoded and can be looked up; nothing acts on it yet.

- `Configuration.accounts`, `Route.is_public`, `Envelope.credential`.
An empty list is the feature switched off.
- `RouteTable::updated` builds the next version and shares unchanged accounts and parts of the key index with it.
- `Job.account` (none yet) and `Job::rank`, the account's rank before the route's.
- Section `accounts` of the settings of gateways and ledger instances: `strict_revocation`, `revocation_ms`, `rate_window_s`, `rate_overage`, `rate_slack`.
What a template leaves empty is off.

Run: tests of gg-route, gg-settings, gg-protocol; clippy on all.

--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -60,7 +60,7 @@
         log::info!("event=under_way request={} program={program}", job.id());
         return Ok(());
     }
-    state.metrics.count("refused_new", &[("rank", &job.route.rank.to_string())]);
+    state.metrics.count("refused_new", &[("rank", &job.rank().to_string())]);
     Err(refusal)
 }
 
@@ -95,7 +95,7 @@
 /// Checks whether the service has capacity for new work.
 fn check_capacity<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
     let Some(service) = state.fleet.service(&job.service.name) else { return Ok(()) };
-    let work = NewWork { rank: job.route.rank, objective: job.route.target };
+    let work = NewWork { rank: job.rank(), objective: job.route.target };
     let occupancy = occupancy(state, &service);
     let draw = rand::rng().random_range(0.0..1.0);
     let admitted =
--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -90,7 +90,7 @@
     if !lock(&state.hedges).spend() {
         return None;
     }
-    let in_flight = service.load.enter(job.route.rank);
+    let in_flight = service.load.enter(job.rank());
     let place = selected.occupy(permit, in_flight, job, Instant::now(), tried.len() + 1);
     state.metrics.count("hedges", &[]);
     log::info!("event=hedged request={} replica={}", job.id(), place.replica.upstream.id.name);
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -56,7 +56,7 @@
     let started_at = Instant::now();
     let wait_max = job.deadline.saturating_duration_since(started_at).mul_f64(WAIT_SHARE);
     let limit = started_at + wait_max;
-    let rank_factor = RANK_WAIT_FACTOR.powi(job.route.rank.into());
+    let rank_factor = RANK_WAIT_FACTOR.powi(job.rank().into());
     let permit_limit = started_at + wait_max.mul_f64(rank_factor);
     let unplaced = |failure: Failure| match attempts.final_decision() {
         RetryDecision::Abandon => Failure::unknown(Code::UpstreamFailed, failure.message),
@@ -72,7 +72,7 @@
         };
         let load = service.load.clone();
         // Requests that wait count as well: admission has to see them.
-        let in_flight = load.enter(job.route.rank);
+        let in_flight = load.enter(job.rank());
         let notified = load.freed.notified();
         let available = untried(&service, tried);
         if available.is_empty() {
@@ -141,7 +141,7 @@
         "event=refused_limited request={} service={} rank={} replicas={} wait_ms={}",
         job.id(),
         job.service.name,
-        job.route.rank,
+        job.rank(),
         available.len(),
         wait.as_millis()
     );
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -8,7 +8,7 @@
 use gg_ledger::TurnKey;
 use gg_protocol::{Code, Failure, Name};
 use gg_route::{
-    Deployment, Envelope, EnvelopeError, PromptPart, Route, RouteKind, RouteTable, Service,
+    Account, Deployment, Envelope, EnvelopeError, PromptPart, Route, RouteKind, RouteTable, Service,
 };
 use http::{Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
@@ -32,6 +32,9 @@
     pub(crate) envelope: Envelope,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Service,
+    /// Account whose key the client presented; `None` on public routes without
+    /// a valid key, and if the configuration has no accounts.
+    pub(crate) account: Option<Arc<Account>>,
     pub(crate) started_at: Instant,
     /// The client's deadline or the route's timeout, whichever comes first.
     pub(crate) deadline: Instant,
@@ -42,6 +45,12 @@
         &self.envelope.request
     }
 
+    /// Rank of the request: its account's if that has one, else its route's.
+    pub(crate) fn rank(&self) -> u8 {
+        let of_account = self.account.as_ref().and_then(|account| account.rank);
+        of_account.unwrap_or(self.route.rank)
+    }
+
     /// Key of the request's turn in the ledger.
     pub(crate) fn turn_key(&self) -> TurnKey {
         TurnKey { turn: self.id().clone(), program: self.envelope.turn.program.clone() }
@@ -134,7 +143,7 @@
 ) -> ClientResponse<S> {
     let ms = job.started_at.elapsed().as_millis();
     let (id, kind, route) = (job.id(), job.route.kind.as_str(), &job.route.name);
-    let rank = job.route.rank;
+    let rank = job.rank();
     let result = match &answered {
         Ok(response) => response.status().as_str().to_owned(),
         Err(failure) => failure.code.as_str().to_owned(),
@@ -185,7 +194,8 @@
     let deadline = started_at + limit;
     let has_body = !body.is_end_stream();
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
-    Ok(Job { head, body, has_body, envelope, route, service, started_at, deadline })
+    let account = None;
+    Ok(Job { head, body, has_body, envelope, route, service, account, started_at, deadline })
 }
 
 fn find_route(table: &RouteTable, head: &Parts) -> Result<Arc<Route>, Failure> {
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -85,7 +85,9 @@
     pub(crate) fn configure(&self, configuration: Configuration) {
         let version = configuration.version;
         let routes = configuration.routes.len();
-        let new = Arc::new(RouteTable::new(configuration));
+        let known = self.table().unwrap_or_default();
+        let new = Arc::new(known.updated(configuration));
+        let accounts = new.account_count();
         let mut table = self.table.write().unwrap_or_else(|poisoned| poisoned.into_inner());
         match table.as_ref() {
             Some(known) if known.version >= version => {
@@ -93,7 +95,9 @@
             }
             _ => {
                 *table = Some(new);
-                log::info!("event=configured version={version} routes={routes}");
+                log::info!(
+                    "event=configured version={version} routes={routes} accounts={accounts}"
+                );
             }
         }
     }
--- a/crates/gg-route/src/configuration.rs
+++ b/crates/gg-route/src/configuration.rs
@@ -4,6 +4,8 @@
 
 use gg_protocol::Name;
 
+use crate::Account;
+
 /// Delivery semantics of a route, which determine whether its requests may be
 /// repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,6 +80,8 @@
     /// Whether all gateways prefer the same replica for requests that refer to
     /// the same object.
     pub is_sticky: bool,
+    /// Whether requests need no key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -137,4 +141,7 @@
     pub services: Vec<Service>,
     /// Limits for client requests.
     pub limits: ClientLimits,
+    /// All client accounts. Without any, requests need no key and none is
+    /// looked at.
+    pub accounts: Vec<Account>,
 }
--- a/crates/gg-route/src/envelope.rs
+++ b/crates/gg-route/src/envelope.rs
@@ -5,6 +5,8 @@
 use gg_protocol::Name;
 use quick_error::quick_error;
 
+use crate::Credential;
+
 /// Position of a request within a program, and the program's budget.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Turn {
@@ -49,6 +51,8 @@
     pub object: Option<Name>,
     /// Program, previous turn and budget.
     pub turn: Turn,
+    /// Key that the client presented, if it can be read.
+    pub credential: Option<Credential>,
 }
 
 quick_error! {
--- a/crates/gg-route/src/table.rs
+++ b/crates/gg-route/src/table.rs
@@ -4,7 +4,9 @@
 
 use gg_protocol::Name;
 
-use crate::{ClientLimits, Configuration, Route, Service};
+use crate::{
+    Account, ClientLimits, Configuration, Credential, Route, Service, account_index::AccountIndex,
+};
 
 /// A configuration version, indexed for lookups.
 #[derive(Debug, Default)]
@@ -15,11 +17,18 @@
     pub limits: ClientLimits,
     hosts: HashMap<Name, HashMap<Name, Arc<Route>>>,
     services: HashMap<Name, Service>,
+    accounts: AccountIndex,
 }
 
 impl RouteTable {
     /// Builds the routing table for a configuration.
     pub fn new(configuration: Configuration) -> Self {
+        RouteTable::default().updated(configuration)
+    }
+
+    /// Builds the routing table for the configuration that follows this one.
+    /// Both share the accounts that did not change.
+    pub fn updated(&self, configuration: Configuration) -> Self {
         let mut hosts: HashMap<Name, HashMap<Name, Arc<Route>>> = HashMap::new();
         for route in configuration.routes {
             let prefixes = hosts.entry(route.host.clone()).or_default();
@@ -31,9 +40,31 @@
             limits: configuration.limits,
             hosts,
             services: services.map(|service| (service.name.clone(), service)).collect(),
+            accounts: self.accounts.updated(configuration.accounts),
         }
     }
 
+    /// Whether the configuration has client accounts, so that requests need a
+    /// key.
+    pub fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    /// Number of client accounts.
+    pub fn account_count(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// The account that holds the presented key.
+    pub fn account(&self, credential: &Credential) -> Option<&Arc<Account>> {
+        self.accounts.find(credential)
+    }
+
+    /// The account with this name.
+    pub fn account_named(&self, name: &str) -> Option<&Arc<Account>> {
+        self.accounts.named(name)
+    }
+
     /// Returns the route of the longest prefix that matches `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let prefixes = self.hosts.get(host)?;
--- a/crates/gg-route/tests/table.rs
+++ b/crates/gg-route/tests/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gg_route::{ClientLimits, Configuration, Retention, Route, RouteKind, RouteTable, Service};
+use gg_route::{Configuration, Retention, Route, RouteKind, RouteTable, Service};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -19,6 +19,7 @@
         stores_turns: false,
         is_resumable: false,
         is_sticky: false,
+        is_public: false,
     }
 }
 
@@ -32,7 +33,7 @@
             event_tokens: 0,
             cache_tokens: 0,
         }],
-        limits: ClientLimits::default(),
+        ..Configuration::default()
     })
 }
 
--- a/crates/gg-settings/src/lib.rs
+++ b/crates/gg-settings/src/lib.rs
@@ -3,12 +3,14 @@
 //! Parsing does not stop at the first fault: all faults of a file are returned,
 //! each with its file, section, key, value and the allowed values.
 
+mod accounts;
 mod configuration;
 mod daemon;
 mod fault;
 mod node;
 mod section;
 
+pub use accounts::{AccountSettings, RateSettings};
 pub use configuration::{Draft, parse_configuration, print_document};
 pub use daemon::{DaemonSettings, ListenSettings, LogSettings, SAMPLE, TimingSettings};
 pub use fault::{Fault, Faults};
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -6,10 +6,13 @@
 use gg_protocol::Name;
 use ini::Ini;
 
-use crate::{DaemonSettings, Fault, Faults, daemon::syntax_fault, section::Section};
+use crate::{
+    AccountSettings, DaemonSettings, Fault, Faults, accounts::read_accounts, daemon::syntax_fault,
+    section::Section,
+};
 
 /// Sections that the settings of a gateway or ledger may have.
-const SECTIONS: [&str; 5] = ["instance", "directory", "gateway", "ledger", "log"];
+const SECTIONS: [&str; 6] = ["instance", "directory", "gateway", "ledger", "accounts", "log"];
 
 /// Instances start within a third of a second of each other, and a busy host
 /// takes a while to run them.
@@ -52,6 +55,8 @@
     pub stop_timeout: Duration,
     /// Whether this is the first start of the whole deployment.
     pub is_first_start: bool,
+    /// Bounds for client accounts.
+    pub accounts: AccountSettings,
     /// Address of the metrics listener, if metrics are served.
     pub metrics: Option<SocketAddr>,
 }
@@ -86,6 +91,8 @@
     pub disk_bytes: u64,
     /// Maximum memory for turns and accounts, in bytes.
     pub memory_limit: usize,
+    /// Bounds for client accounts.
+    pub accounts: AccountSettings,
     /// Address of the metrics listener, if metrics are served.
     pub metrics: Option<SocketAddr>,
 }
@@ -137,12 +144,15 @@
         let name = crate::daemon::instance_name(&instance, "name");
         let centre = crate::daemon::instance_name(&instance, "data_centre");
         instance.finish();
+        let accounts = read_accounts(section("accounts"));
         let settings = if is_gateway {
             let mut gateway = read_gateway(section("gateway"), name, centre);
+            gateway.accounts = accounts;
             gateway.metrics = log.metrics.parse().ok();
             Settings::Gateway(gateway, directory, log)
         } else {
             let mut ledger = read_ledger(section("ledger"), name, centre);
+            ledger.accounts = accounts;
             ledger.metrics = log.metrics.parse().ok();
             Settings::Ledger(ledger, directory, log)
         };
@@ -168,6 +178,7 @@
         connections: section.number("connections", 2_000, 1, 65_536),
         stop_timeout: Duration::from_secs_f64(section.number("grace_s", 8.0, 1.0, 600.0)),
         is_first_start: section.flag("founding", false),
+        accounts: AccountSettings::default(),
         metrics: None,
     };
     section.finish();
@@ -200,6 +211,7 @@
             mb => mb << 20,
         },
         memory_limit: memory_limit(section.number("memory_mb", 0, 0, 1 << 30)),
+        accounts: AccountSettings::default(),
         metrics: None,
     };
     section.finish();
--- a/crates/gg-settings/src/section.rs
+++ b/crates/gg-settings/src/section.rs
@@ -62,6 +62,18 @@
         }
     }
 
+    /// Returns a number from `min` to `max`, if the key has a value.
+    pub(crate) fn optional_number(&self, key: &'static str, min: f64, max: f64) -> Option<f64> {
+        let text = self.text(key).filter(|text| !text.is_empty())?;
+        match text.parse::<f64>() {
+            Ok(number) if number >= min && number <= max => Some(number),
+            _ => {
+                self.fault(key, text, &format!("a number from {min} to {max}"));
+                None
+            }
+        }
+    }
+
     /// Returns a duration from `min` to `max` milliseconds, or `default`.
     pub(crate) fn millis(
         &self,
--- a/crates/gg-settings/tests/files.rs
+++ b/crates/gg-settings/tests/files.rs
@@ -1,7 +1,12 @@
 //! Parsing of settings and configuration files.
 
 use gg_protocol::{Document, Profile, Rank};
-use gg_settings::{DaemonSettings, SAMPLE, parse_configuration, print_document};
+use std::time::Duration;
+
+use gg_settings::{
+    AccountSettings, DaemonSettings, RateSettings, SAMPLE, Settings, parse_configuration,
+    print_document,
+};
 use proptest::prelude::*;
 
 #[test]
@@ -60,6 +65,37 @@
     assert_eq!(faults.len(), 3, "{faults:?}");
 }
 
+/// Settings of client accounts that a template leaves empty are off.
+#[test]
+fn account_settings() {
+    let parse = |accounts: &str| {
+        let text = format!(
+            "[instance]\nname = a\ndata_centre = north\n[directory]\naddress = 127.0.0.1:1\n\
+             [gateway]\nclients = 127.0.0.1:2\nready = 127.0.0.1:3\n{accounts}"
+        );
+        match Settings::parse("a.ini", &text) {
+            Ok(Settings::Gateway(gateway, ..)) => Ok(gateway.accounts),
+            Ok(other) => panic!("{other:?}"),
+            Err(faults) => Err(faults.0),
+        }
+    };
+    let off = Ok(AccountSettings::default());
+    assert_eq!(parse(""), off);
+    let empty = "[accounts]\nstrict_revocation =\nrevocation_ms =\nrate_window_s =\n\
+                 rate_overage =\nrate_slack =\n";
+    assert_eq!(parse(empty), off);
+    assert_eq!(parse("[accounts]\nstrict_revocation = false\nrevocation_ms = 5000\n"), off);
+    let rate = RateSettings { window: Duration::from_secs(5), overage: 0.1, slack: 20.0 };
+    let all = "[accounts]\nstrict_revocation = true\nrevocation_ms = 5000\nrate_window_s = 5\n\
+               rate_overage = 0.1\nrate_slack = 20\n";
+    let expected = AccountSettings { revocation: Some(Duration::from_secs(5)), rate: Some(rate) };
+    assert_eq!(parse(all), Ok(expected));
+    for wrong in ["strict_revocation = yes", "strict_revocation = 1", "rate_window_s = -1"] {
+        let faults = parse(&format!("[accounts]\n{wrong}\n")).expect_err(wrong);
+        assert_eq!((faults.len(), &*faults[0].section), (1, "accounts"), "{faults:?}");
+    }
+}
+
 proptest! {
     /// A printed document parses to the same document and version.
     #[test]
