Client accounts: identity, and turns that belong to accounts

Callers of deployments with accounts were served whatever key they sent, replicas were shown the key and whatever account the client named, and any client could continue any program's turns.

A gateway looks the key up once the route is known and before the body is read: 401 for an absent or unknown key, none needed on public routes, 404 for an unknown route first, 503 before any configuration. The key and the client's own account header leave the head in memory at once; the account's name is set for each send, after the headers that `Connection` lists were dropped. Each placement and each send looks the key up again, so that second attempts, hedges and resumed streams stop with a withdrawn key.

Programs, turns, previous turns, objects of affinity and fingerprints of quarantined requests get names that contain the account (`owned_name`).

Without accounts in the configuration no header, message or log entry differs (`nothing_changes_without_accounts`).

The decision for withdrawals (`Revocation`) is a type without an effect yet.

--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -37,9 +37,9 @@
 /// request outside any program. All other requests belong to work that was
 /// admitted before; they are always admitted, so that it can finish.
 pub(crate) async fn admit<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
-    let turn = &job.envelope.turn;
-    let is_continuation = match (job.route.kind, &turn.program) {
-        (RouteKind::Stream, _) if turn.previous.is_some() => true,
+    let program = job.program();
+    let is_continuation = match (job.route.kind, &program) {
+        (RouteKind::Stream, _) if job.envelope.turn.previous.is_some() => true,
         (RouteKind::Stream, Some(program)) => {
             lock(&state.programs).is_active(program, Instant::now())
         }
@@ -53,7 +53,7 @@
         .and_then(|()| check_capacity(state, job));
     let Err(refusal) = checked else { return Ok(()) };
     // Earlier turns of the program may have been handled by other gateways.
-    if let Some(program) = &turn.program
+    if let Some(program) = &program
         && state.ledger.has_account(program, job.deadline).await
     {
         state.metrics.count("known_by_account", &[]);
@@ -67,8 +67,8 @@
 /// Records that a turn was admitted and opened, so its program is now in
 /// progress.
 pub(crate) fn record_opened<D>(state: &State<D>, job: &Job) {
-    if let Some(program) = &job.envelope.turn.program {
-        lock(&state.programs).record(program, Instant::now());
+    if let Some(program) = job.program() {
+        lock(&state.programs).record(&program, Instant::now());
     }
 }
 
--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -30,10 +30,12 @@
 /// Time, in ms, after which the client of a quarantined request may retry.
 const QUARANTINE_RETRY_MS: u64 = 60_000;
 
-/// Digest of the method, host and path of a request.
+/// Digest of the method, host and path of a request, and of its account. The
+/// requests of one account are not refused for those of another one.
 fn head_digest(job: &Job) -> u64 {
     let path = job.head.uri.path_and_query().map_or("", |path| path.as_str());
-    hash(format!("{} {} {path}", job.head.method, job.route.host).as_bytes())
+    let head = format!("{} {} {path}", job.head.method, job.route.host).as_str().into();
+    hash(job.owned(&head).as_bytes())
 }
 
 /// Fingerprint of a request and its caller.
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! `proxy.rs` handles a request from start to end; each step has a module of
 //! its own.
 
+mod access;
 mod admit;
 mod buffer_budget;
 mod call;
@@ -15,6 +16,7 @@
 mod discovery;
 mod events;
 mod fleet;
+mod identity;
 mod ingress;
 mod instance;
 mod permit;
@@ -31,6 +33,7 @@
 mod response;
 mod resume;
 mod retry;
+mod revocation;
 mod send;
 mod state;
 mod stream;
@@ -42,10 +45,12 @@
 pub use choice::{Candidate, Choice, ChoiceSettings, choose};
 pub use events::{EventCount, EventSplitter, Repeated};
 pub use fleet::Fleet;
+pub use identity::{IdentityError, identify, identify_again, owned_name};
 pub use instance::{GatewayError, run_gateway, run_ledger};
 pub use prefix_cache::PrefixCache;
 pub use programs::Programs;
 pub use rate_limit::{LimitChange, RateLimit};
 pub use reach::{ConnectFailure, Path, PathChange, Reachability};
 pub use retry::{Attempts, Outcome, RetryDecision};
+pub use revocation::Revocation;
 pub use tunnel_peers::{TunnelPeer, TunnelPeers};
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -67,6 +67,7 @@
         // Similar requests may have crashed replicas while this one waited, or
         // while it was on a replica that then refused it.
         crash::check(state, job).map_err(unplaced)?;
+        job.check_key(state).map_err(unplaced)?;
         let Some(service) = state.fleet.service(&job.service.name) else {
             return Err(unplaced(refusal("no replica of the service is known")));
         };
@@ -260,6 +261,7 @@
 /// one while it accepts work (rendezvous hashing).
 fn affinity_replica<'a>(job: &Job, available: &[&'a Arc<Replica>]) -> Option<&'a Arc<Replica>> {
     let object = job.envelope.object.as_ref().filter(|_| job.route.is_sticky)?;
+    let object = job.owned(object);
     let weight = |replica: &Arc<Replica>| {
         hash([object.as_bytes(), replica.upstream.id.name.as_bytes()].concat().as_slice())
     };
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -15,7 +15,9 @@
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::{self, Instant};
 
-use crate::{call, crash, relay::RelayError, response, retry::Attempts, state::State, stream};
+use crate::{
+    call, crash, owned_name, relay::RelayError, response, retry::Attempts, state::State, stream,
+};
 
 /// Retry time for requests that arrive before a configuration is known.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
@@ -45,15 +47,50 @@
         &self.envelope.request
     }
 
-    /// Rank of the request: its account's if that has one, else its route's.
+    /// Rank of the request.
     pub(crate) fn rank(&self) -> u8 {
-        let of_account = self.account.as_ref().and_then(|account| account.rank);
-        of_account.unwrap_or(self.route.rank)
+        self.route.rank_for(self.account.as_deref())
     }
 
     /// Key of the request's turn in the ledger.
     pub(crate) fn turn_key(&self) -> TurnKey {
-        TurnKey { turn: self.id().clone(), program: self.envelope.turn.program.clone() }
+        TurnKey { turn: self.owned(self.id()), program: self.program() }
+    }
+
+    /// The program of the request, as it is known under its account.
+    pub(crate) fn program(&self) -> Option<Name> {
+        self.envelope.turn.program.as_ref().map(|program| self.owned(program))
+    }
+
+    /// The turn that the request continues, as it is known under its account.
+    pub(crate) fn previous(&self) -> Option<Name> {
+        self.envelope.turn.previous.as_ref().map(|previous| self.owned(previous))
+    }
+
+    /// The name of an id under the request's account.
+    pub(crate) fn owned(&self, id: &Name) -> Name {
+        owned_name(self.account.as_deref(), id)
+    }
+
+    /// Fails if the request may no longer be sent, as its key was withdrawn or
+    /// can't be checked any more.
+    pub(crate) fn check_key<D>(&self, state: &State<D>) -> Result<(), Failure> {
+        let Some(account) = &self.account else { return Ok(()) };
+        let checked =
+            state.identify_again(self.route.is_public, account, self.envelope.credential.as_ref());
+        if let Err(failure) = &checked {
+            log::info!("event=key_refused request={}{} reason={failure}", self.id(), self.caller());
+        }
+        checked
+    }
+
+    /// The account and the key's fingerprint for log lines; empty without an
+    /// account.
+    fn caller(&self) -> String {
+        match (&self.account, &self.envelope.credential) {
+            (Some(account), Some(key)) => format!(" account={} key={}", account.name, key.digest()),
+            _ => String::new(),
+        }
     }
 
     /// Prompt parts from which the uncached tokens are estimated. On routes
@@ -143,7 +180,7 @@
 ) -> ClientResponse<S> {
     let ms = job.started_at.elapsed().as_millis();
     let (id, kind, route) = (job.id(), job.route.kind.as_str(), &job.route.name);
-    let rank = job.rank();
+    let (rank, caller) = (job.rank(), job.caller());
     let result = match &answered {
         Ok(response) => response.status().as_str().to_owned(),
         Err(failure) => failure.code.as_str().to_owned(),
@@ -157,13 +194,13 @@
             let status = response.status().as_u16();
             log::info!(
                 "event=answered request={id} kind={kind} rank={rank} route={route} status={status} \
-                 ms={ms}"
+                 ms={ms}{caller}"
             );
             response
         }
         Err(failure) => {
             log::warn!(
-                "event=failed request={id} kind={kind} rank={rank} route={route} ms={ms} \
+                "event=failed request={id} kind={kind} rank={rank} route={route} ms={ms}{caller} \
                  reason={failure}"
             );
             response::failure(&failure).map(Either::Left)
@@ -175,7 +212,7 @@
 async fn read_request<D: Deployment>(
     state: &State<D>,
     envelope: Result<Envelope, EnvelopeError>,
-    head: Parts,
+    mut head: Parts,
     body: Incoming,
     started_at: Instant,
 ) -> Result<Job, Failure> {
@@ -189,12 +226,15 @@
     let envelope =
         envelope.map_err(|err| Failure::unexecuted(Code::BadRequest, err.to_string()))?;
     let route = find_route(&table, &head)?;
+    let account = state.identify(&table, route.is_public, envelope.credential.as_ref())?;
+    if table.has_accounts() {
+        state.deployment.remove_credential(&mut head.headers);
+    }
     let service = select_service(&table, &route, &envelope)?;
     let limit = envelope.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started_at + limit;
     let has_body = !body.is_end_stream();
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
-    let account = None;
     Ok(Job { head, body, has_body, envelope, route, service, account, started_at, deadline })
 }
 
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -340,11 +340,11 @@
             return Ok(());
         }
         let (previous, input) = match &self.whole_history {
-            None => (job.envelope.turn.previous.clone(), job.body.clone()),
+            None => (job.previous(), job.body.clone()),
             Some(history) => (None, [history.as_ref(), &job.body].concat().into()),
         };
         let record = TurnRecord {
-            turn: job.id().clone(),
+            turn: job.owned(job.id()),
             previous,
             text: turn_text(&input, &mem::take(&mut self.relayed).join()),
             upstream: self.upstream.clone(),
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -128,6 +128,8 @@
     place: Placement,
 ) -> Result<Sent<D>, Outcome> {
     let replica = place.replica.clone();
+    // The next placement of the request fails for the same reason.
+    job.check_key(state).map_err(|_| Outcome::Unsent)?;
     let request = build_request(state, job, outgoing, &replica);
     let mut crash_guard = CrashGuard::new(state, job, &replica);
     let sent_at = Instant::now();
@@ -323,7 +325,8 @@
     strip_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
-    state.deployment.prepare(&mut headers, &replica.upstream.id, remaining);
+    let account = job.account.as_ref().map(|account| &account.name);
+    state.deployment.prepare(&mut headers, &replica.upstream.id, account, remaining);
     if let Some(last) = outgoing.after {
         state.deployment.resume(&mut headers, last);
     }
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -90,7 +90,7 @@
     let (route, turn) = (&job.route, &job.envelope.turn);
     let request = OpenRequest {
         key: job.turn_key(),
-        previous: turn.previous.clone().filter(|_| route.stores_turns),
+        previous: job.previous().filter(|_| route.stores_turns),
         budget: budget(job),
         branch: job.envelope.session.clone().filter(|_| !route.stores_turns),
         keep_ms: (!route.stores_turns).then(|| route.retention.as_millis()),
--- a/crates/gg-route/src/configuration.rs
+++ b/crates/gg-route/src/configuration.rs
@@ -85,6 +85,12 @@
 }
 
 impl Route {
+    /// Rank of a request that runs for `account`: the account's if it has one,
+    /// else the route's.
+    pub fn rank_for(&self, account: Option<&Account>) -> u8 {
+        account.and_then(|account| account.rank).unwrap_or(self.rank)
+    }
+
     /// Whether a request may be sent again if it may have been executed.
     pub fn is_repeatable(&self) -> bool {
         self.kind.is_repeatable() || (self.kind == RouteKind::Stream && self.is_resumable)
--- a/crates/gg-route/src/deployment.rs
+++ b/crates/gg-route/src/deployment.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use gg_platform::{Directory, Entry};
+use gg_protocol::Name;
 use http::HeaderMap;
 use quick_error::quick_error;
 
@@ -26,9 +27,19 @@
     /// Parses the head of a client's request.
     fn envelope(&self, headers: &HeaderMap) -> Result<Envelope, EnvelopeError>;
 
+    /// Removes the client's key, and what the client says about its account.
+    fn remove_credential(&self, headers: &mut HeaderMap);
+
     /// Sets the headers of a request to `upstream`, which has the time
-    /// `remaining` to respond. Removes headers that clients must not set.
-    fn prepare(&self, headers: &mut HeaderMap, upstream: &UpstreamId, remaining: Duration);
+    /// `remaining` to respond, and names the account that it runs for. Removes
+    /// headers that clients must not set.
+    fn prepare(
+        &self,
+        headers: &mut HeaderMap,
+        upstream: &UpstreamId,
+        account: Option<&Name>,
+        remaining: Duration,
+    );
 
     /// Sets the headers to resume a stream after the event `last`.
     fn resume(&self, headers: &mut HeaderMap, last: &str);
--- a/crates/gg-route/src/envelope.rs
+++ b/crates/gg-route/src/envelope.rs
@@ -29,7 +29,8 @@
     pub tokens: u32,
 }
 
-/// Identity, deadlines and sizes of a request.
+/// Identity, deadlines and sizes of a request. Names that clients choose are
+/// ASCII.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Envelope {
     /// Identity of this client attempt.
--- a/crates/gg-route/tests/table.rs
+++ b/crates/gg-route/tests/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gg_route::{Configuration, Retention, Route, RouteKind, RouteTable, Service};
+use gg_route::{Account, Configuration, Retention, Route, RouteKind, RouteTable, Service};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -54,6 +54,15 @@
     assert_eq!(name("a.example", "no-slash"), None);
 }
 
+#[test]
+fn account_rank_goes_first() {
+    let route = Route { rank: 4, ..route("r", "a.example", "/") };
+    let account = |rank| Account { name: "a".into(), keys: Vec::new(), rank, rate: None };
+    assert_eq!(route.rank_for(None), 4);
+    assert_eq!(route.rank_for(Some(&account(None))), 4);
+    assert_eq!(route.rank_for(Some(&account(Some(0)))), 0);
+}
+
 #[test]
 fn services_are_drawn_by_weight() {
     let split = Route {
