--- a/crates/gg-ledger/tests/formats.rs
+++ b/crates/gg-ledger/tests/formats.rs
@@ -127,6 +127,29 @@
     assert_eq!(unchanged[..recorded.len()], recorded, "the recorded segments");
 }
 
+/// Gateways add the account to the names of its programs and turns. What was
+/// stored without one stays as it was, and no account has it.
+#[tokio::test]
+async fn names_with_accounts() {
+    let disk = recorded::disk();
+    let single = start(disk.path()).await;
+    let ledger = &single.ledger;
+    let (plain, owned) = (program_in(0), format!("{}§north", program_in(0)));
+    assert!(!ledger.has_account(&owned.as_str().into(), deadline()).await);
+    let next = request(&owned, "next§north", Some("turn-3§north"));
+    let result = ledger.open(&next, deadline()).await;
+    assert!(matches!(result, Err(LedgerError::NoSuchTurn)), "{result:?}");
+    let stored = record("turn-3§north", None, "of north".into());
+    ledger.close(&key(&owned, "turn-3§north"), Some(3), stored).await.expect("stored");
+    let opened = ledger.open(&next, deadline()).await.expect("opened");
+    assert_eq!(opened.history, "of north");
+    let next = request(&plain, "next", Some("turn-3"));
+    assert_eq!(ledger.open(&next, deadline()).await.expect("opened").history, text(3));
+    drop(single);
+    let is_stored = |(_, entry): &(u16, Entry)| matches!(entry, Entry::Turn(record) if record.turn == "turn-3§north");
+    assert!(entries(disk.path()).iter().any(is_stored), "735404d reads the entry");
+}
+
 /// Settled, reserved, and dropped with its partition.
 #[tokio::test]
 async fn recorded_accounts() {
--- a/crates/gg-route/src/account.rs
+++ b/crates/gg-route/src/account.rs
@@ -42,11 +42,6 @@
         bytes.copy_from_slice(digest(&SHA256, key.as_bytes()).as_ref());
         KeyDigest(bytes)
     }
-
-    /// Value by which digests are spread over parts of an index.
-    pub(crate) fn spread(&self) -> usize {
-        usize::from(self.0[0])
-    }
 }
 
 impl PartialEq for KeyDigest {
--- a/crates/gg-route/tests/accounts.rs
+++ b/crates/gg-route/tests/accounts.rs
@@ -63,6 +63,43 @@
     assert_eq!(holder(&second, "k").as_deref(), Some("north"));
 }
 
+/// Whatever versions went before, a version says whose each key is.
+#[test]
+fn former_versions_do_not_matter() {
+    let names = ["a", "b", "c"];
+    let version = |number: usize| {
+        // Each account holds some of four keys, or is missing.
+        let held = |place: usize| number.wrapping_mul(0x9e37_79b9) >> (8 + 5 * place);
+        let listed = names.iter().enumerate().filter(|(place, _)| held(*place) & 16 == 0);
+        let accounts: Vec<Account> = listed
+            .map(|(place, name)| {
+                let keys = ["1", "2", "3", "4"];
+                let held: Vec<&str> =
+                    (0..4).filter(|key| held(place) >> key & 1 == 1).map(|key| keys[key]).collect();
+                account(name, &held)
+            })
+            .collect();
+        configuration(&accounts)
+    };
+    let mut table = RouteTable::default();
+    for number in 0..2_000 {
+        table = table.updated(version(number));
+        let fresh = RouteTable::new(version(number));
+        for key in ["1", "2", "3", "4"] {
+            assert_eq!(holder(&table, key), holder(&fresh, key), "version {number} key {key}");
+        }
+    }
+}
+
+#[test]
+fn repeated_names() {
+    let accounts = [account("north", &["n1"]), account("north", &["n2"])];
+    let first = RouteTable::new(configuration(&accounts));
+    for table in [&first, &first.updated(configuration(&accounts))] {
+        assert_eq!((holder(table, "n1"), holder(table, "n2").as_deref()), (None, Some("north")));
+    }
+}
+
 #[test]
 fn unchanged_accounts_are_shared() {
     let accounts: Vec<Account> = (0..200)
