--- a/crates/gg-protocol/src/lib.rs
+++ b/crates/gg-protocol/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod overload;
 pub mod peer;
 pub mod step;
+pub mod suspension;
 pub mod view;
 
 pub use chat::{ChatCall, Message, Usage};
