Count suspensions in the age of a copy

`Confirmed::age` was too low after the machine had been suspended, as the steady clock stands still meanwhile.

--- a/crates/gg-platform/src/confirmed.rs
+++ b/crates/gg-platform/src/confirmed.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use gg_protocol::suspension::suspended_since;
+
 /// Moment up to which a copy is known to hold every acknowledged change: that at
 /// which the confirming call to the directory was sent. A later moment counts as
 /// more recent, and no confirmation (`None`) as older than any.
@@ -22,8 +24,8 @@
         request_sent_at.checked_sub(age).map(Confirmed)
     }
 
-    /// Age of the copy.
+    /// Age of the copy. Time in which this machine was suspended counts.
     pub fn age(self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.0)
+        now.saturating_duration_since(self.0) + suspended_since(self.0)
     }
 }
