--- a/crates/gg-settings/src/lib.rs
+++ b/crates/gg-settings/src/lib.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod daemon;
 mod fault;
+mod key_value;
 mod node;
 mod section;
 
@@ -14,4 +15,5 @@
 pub use configuration::{Draft, parse_configuration, print_document};
 pub use daemon::{DaemonSettings, ListenSettings, LogSettings, SAMPLE, TimingSettings};
 pub use fault::{Fault, Faults};
+pub use key_value::KeyValue;
 pub use node::{DirectorySettings, GatewaySettings, LedgerSettings, Settings};
