Refuse keys of configurations that are too old

Callers could use a withdrawn key for as long as a gateway heard nothing of its withdrawal: without the change `silent_store` and `busy_store` see requests run that were sent later than the bound.

With strict revocation a gateway trusts the keys of its configuration only while that is younger than 0.98 of the bound; its age counts from when the confirming call was sent, over all hops, suspensions included. Else requests with a key get 503 at once, not run, with the time of the next poll; requests without a key go on, and the gateway is not ready. This is checked when a request arrives, before the configuration is taken, and again at each placement and each send.

`greengagefork_accounts`, `greengagefork_keys_trusted`; events `keys_not_trusted`, `keys_trusted`.

--- a/crates/gg-gateway/src/access.rs
+++ b/crates/gg-gateway/src/access.rs
@@ -1,27 +1,29 @@
 //! Checks the keys of requests against the configuration in force.
 
-use std::sync::Arc;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Instant,
+};
 
+use gg_platform::POLL_INTERVAL;
 use gg_protocol::{Code, Failure};
 use gg_route::{Account, Credential, RouteTable};
 use rand::Rng;
 
 use crate::{IdentityError, identify, identify_again, state::State};
 
-/// Time after which a client may retry whose key could not be checked. The next
-/// confirmation of the configuration is due with the next poll of the ledger
-/// instances.
-const OUTDATED_RETRY_MS: u64 = 300;
-
 impl<D> State<D> {
-    /// The account for which a request runs.
+    /// The account for which a request runs. `trusts_keys` was determined before
+    /// `table` was taken, which is then at least as recent.
     pub(crate) fn identify(
         &self,
         table: &RouteTable,
+        trusts_keys: bool,
         is_public: bool,
         credential: Option<&Credential>,
     ) -> Result<Option<Arc<Account>>, Failure> {
-        identify(table, is_public, credential, true).map_err(|err| self.refuse_key(err, credential))
+        identify(table, is_public, credential, trusts_keys)
+            .map_err(|err| self.refuse_key(err, credential))
     }
 
     /// Checks a request that was accepted for `account` once more before it is
@@ -32,11 +34,33 @@
         account: &Account,
         credential: Option<&Credential>,
     ) -> Result<(), Failure> {
+        let trusts_keys = self.trusts_keys();
         let Some(table) = self.table() else { return Ok(()) };
-        identify_again(&table, is_public, account, credential, true)
+        identify_again(&table, is_public, account, credential, trusts_keys)
             .map_err(|err| self.refuse_key(err, credential))
     }
 
+    /// Whether requests with a key are accepted, or need none.
+    pub(crate) fn accepts_keys(&self) -> bool {
+        self.table().is_none_or(|table| !table.has_accounts()) || self.trusts_keys()
+    }
+
+    /// Whether the configuration in use is recent enough to trust its keys.
+    pub(crate) fn trusts_keys(&self) -> bool {
+        let Some(age_max) = self.revocation.age_max() else { return true };
+        let age = self.configuration_age(Instant::now());
+        let is_trusted = self.revocation.is_current(age);
+        if self.has_trusted_keys.swap(is_trusted, Ordering::Relaxed) != is_trusted {
+            let age_ms = age.map_or_else(|| "-".into(), |age| age.as_millis().to_string());
+            let max_ms = age_max.as_millis();
+            match is_trusted {
+                true => log::info!("event=keys_trusted age_ms={age_ms} max_ms={max_ms}"),
+                false => log::warn!("event=keys_not_trusted age_ms={age_ms} max_ms={max_ms}"),
+            }
+        }
+        is_trusted
+    }
+
     fn refuse_key(&self, err: IdentityError, credential: Option<&Credential>) -> Failure {
         self.metrics.count("keys_refused", &[("reason", err.as_str())]);
         let key = credential.map_or_else(|| "-".into(), |key| key.digest().to_string());
@@ -53,7 +77,10 @@
             }
             IdentityError::Outdated => {
                 let message = format!("the configuration is too old to check key {key}");
-                let retry_ms = rand::rng().random_range(OUTDATED_RETRY_MS..2 * OUTDATED_RETRY_MS);
+                // The next confirmation is due with the next poll of the ledger
+                // instances.
+                let interval_ms = POLL_INTERVAL.as_millis() as u64;
+                let retry_ms = rand::rng().random_range(interval_ms / 2..interval_ms * 3 / 2);
                 Failure::unexecuted(Code::PlatformUnavailable, message).retry_in(retry_ms)
             }
         }
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -15,7 +15,7 @@
 use tokio::{net::TcpListener, time};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{connect::Connector, discovery, ingress, state::State};
+use crate::{Revocation, connect::Connector, discovery, ingress, state::State};
 
 quick_error! {
     /// Why an instance could not run.
@@ -67,8 +67,9 @@
         settings.tunnels,
         metrics.clone(),
     );
-    let state =
-        Arc::new(State::new(deployment, settings.centre.clone(), ledger, connector, metrics));
+    let revocation = Revocation::new(settings.bounds.revocation);
+    let centre = settings.centre.clone();
+    let state = Arc::new(State::new(deployment, centre, ledger, connector, revocation, metrics));
     if let Some(address) = settings.metrics {
         let refresh = {
             let state = state.clone();
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -216,6 +216,7 @@
     body: Incoming,
     started_at: Instant,
 ) -> Result<Job, Failure> {
+    let trusts_keys = state.trusts_keys();
     let Some(table) = state.table() else {
         return Err(Failure::unexecuted(
             Code::PlatformUnavailable,
@@ -226,7 +227,8 @@
     let envelope =
         envelope.map_err(|err| Failure::unexecuted(Code::BadRequest, err.to_string()))?;
     let route = find_route(&table, &head)?;
-    let account = state.identify(&table, route.is_public, envelope.credential.as_ref())?;
+    let account =
+        state.identify(&table, trusts_keys, route.is_public, envelope.credential.as_ref())?;
     if table.has_accounts() {
         state.deployment.remove_credential(&mut head.headers);
     }
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -17,7 +17,7 @@
 use gg_route::{Configuration, RouteTable};
 use tokio_util::sync::CancellationToken;
 
-use crate::{BufferBudget, Fleet, Programs, connect::Connector};
+use crate::{BufferBudget, Fleet, Programs, Revocation, connect::Connector};
 
 /// Hedged requests as a share of responses. Above this share slow responses are
 /// a sign of overload, and more requests would add to it.
@@ -46,6 +46,10 @@
     pub(crate) programs: Mutex<Programs>,
     /// Memory budget for buffered responses of replicas.
     pub(crate) buffer_budget: BufferBudget,
+    /// How recent the configuration has to be for its keys to be trusted.
+    pub(crate) revocation: Revocation,
+    /// Whether the keys were trusted when that was last checked.
+    pub(crate) has_trusted_keys: AtomicBool,
     table: RwLock<Option<Arc<RouteTable>>>,
     /// Up to when the configuration in use is known to be the newest.
     configuration_confirmed: Mutex<Option<Confirmed>>,
@@ -61,6 +65,7 @@
         centre: Name,
         ledger: Ledger,
         connector: Connector,
+        revocation: Revocation,
         metrics: Metrics,
     ) -> Self {
         State {
@@ -74,6 +79,8 @@
             admissions: Mutex::default(),
             programs: Mutex::default(),
             buffer_budget: BufferBudget::default(),
+            revocation,
+            has_trusted_keys: AtomicBool::new(true),
             table: RwLock::default(),
             configuration_confirmed: Mutex::default(),
             is_stopping: AtomicBool::new(false),
@@ -143,6 +150,8 @@
             ("tunnels_carried", u64::from(self.connector.carried())),
             ("ledger_ready", u64::from(self.ledger.is_ready())),
             ("ready", u64::from(self.is_ready())),
+            ("accounts", self.table().map_or(0, |table| table.account_count()) as u64),
+            ("keys_trusted", u64::from(self.trusts_keys())),
         ] {
             self.metrics.gauge(name, value, &[]);
         }
@@ -152,14 +161,15 @@
     }
 
     /// Whether this gateway should receive new connections. It should not while
-    /// turns can't be opened and closed or no replica can be reached, as another
-    /// gateway may have better connections.
+    /// turns can't be opened and closed, no replica can be reached or no key can
+    /// be checked, as another gateway may have better connections.
     pub(crate) fn is_ready(&self) -> bool {
         let is_configured = self.table().is_some() && self.fleet.is_usable();
         !self.is_stopping()
             && is_configured
             && self.ledger.is_ready()
             && !self.connector.is_isolated()
+            && self.accepts_keys()
     }
 
     /// Whether a planned shutdown is in progress.
