--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -37,9 +37,9 @@
 /// request outside any program. All other requests belong to work that was
 /// admitted before; they are always admitted, so that it can finish.
 pub(crate) async fn admit<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
-    let turn = &job.envelope.turn;
-    let is_continuation = match (job.route.kind, &turn.program) {
-        (RouteKind::Stream, _) if turn.previous.is_some() => true,
+    let program = job.program();
+    let is_continuation = match (job.route.kind, &program) {
+        (RouteKind::Stream, _) if job.envelope.turn.previous.is_some() => true,
         (RouteKind::Stream, Some(program)) => {
             lock(&state.programs).is_active(program, Instant::now())
         }
@@ -53,22 +53,22 @@
         .and_then(|()| check_capacity(state, job));
     let Err(refusal) = checked else { return Ok(()) };
     // Earlier turns of the program may have been handled by other gateways.
-    if let Some(program) = &turn.program
+    if let Some(program) = &program
         && state.ledger.has_account(program, job.deadline).await
     {
         state.metrics.count("known_by_account", &[]);
         log::info!("event=under_way request={} program={program}", job.id());
         return Ok(());
     }
-    state.metrics.count("refused_new", &[("rank", &job.route.rank.to_string())]);
+    state.metrics.count("refused_new", &[("rank", &job.rank().to_string())]);
     Err(refusal)
 }
 
 /// Records that a turn was admitted and opened, so its program is now in
 /// progress.
 pub(crate) fn record_opened<D>(state: &State<D>, job: &Job) {
-    if let Some(program) = &job.envelope.turn.program {
-        lock(&state.programs).record(program, Instant::now());
+    if let Some(program) = job.program() {
+        lock(&state.programs).record(&program, Instant::now());
     }
 }
 
@@ -95,7 +95,7 @@
 /// Checks whether the service has capacity for new work.
 fn check_capacity<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
     let Some(service) = state.fleet.service(&job.service.name) else { return Ok(()) };
-    let work = NewWork { rank: job.route.rank, objective: job.route.target };
+    let work = NewWork { rank: job.rank(), objective: job.route.target };
     let occupancy = occupancy(state, &service);
     let draw = rand::rng().random_range(0.0..1.0);
     let admitted =
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -56,7 +56,7 @@
     let started_at = Instant::now();
     let wait_max = job.deadline.saturating_duration_since(started_at).mul_f64(WAIT_SHARE);
     let limit = started_at + wait_max;
-    let rank_factor = RANK_WAIT_FACTOR.powi(job.route.rank.into());
+    let rank_factor = RANK_WAIT_FACTOR.powi(job.rank().into());
     let permit_limit = started_at + wait_max.mul_f64(rank_factor);
     let unplaced = |failure: Failure| match attempts.final_decision() {
         RetryDecision::Abandon => Failure::unknown(Code::UpstreamFailed, failure.message),
@@ -67,12 +67,13 @@
         // Similar requests may have crashed replicas while this one waited, or
         // while it was on a replica that then refused it.
         crash::check(state, job).map_err(unplaced)?;
+        job.check_key(state).map_err(unplaced)?;
         let Some(service) = state.fleet.service(&job.service.name) else {
             return Err(unplaced(refusal("no replica of the service is known")));
         };
         let load = service.load.clone();
         // Requests that wait count as well: admission has to see them.
-        let in_flight = load.enter(job.route.rank);
+        let in_flight = load.enter(job.rank());
         let notified = load.freed.notified();
         let available = untried(&service, tried);
         if available.is_empty() {
@@ -141,7 +142,7 @@
         "event=refused_limited request={} service={} rank={} replicas={} wait_ms={}",
         job.id(),
         job.service.name,
-        job.route.rank,
+        job.rank(),
         available.len(),
         wait.as_millis()
     );
@@ -260,6 +261,7 @@
 /// one while it accepts work (rendezvous hashing).
 fn affinity_replica<'a>(job: &Job, available: &[&'a Arc<Replica>]) -> Option<&'a Arc<Replica>> {
     let object = job.envelope.object.as_ref().filter(|_| job.route.is_sticky)?;
+    let object = job.owned(object);
     let weight = |replica: &Arc<Replica>| {
         hash([object.as_bytes(), replica.upstream.id.name.as_bytes()].concat().as_slice())
     };
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -8,14 +8,16 @@
 use gg_ledger::TurnKey;
 use gg_protocol::{Code, Failure, Name};
 use gg_route::{
-    Deployment, Envelope, EnvelopeError, PromptPart, Route, RouteKind, RouteTable, Service,
+    Account, Deployment, Envelope, EnvelopeError, PromptPart, Route, RouteKind, RouteTable, Service,
 };
 use http::{Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::{self, Instant};
 
-use crate::{call, crash, relay::RelayError, response, retry::Attempts, state::State, stream};
+use crate::{
+    call, crash, owned_name, relay::RelayError, response, retry::Attempts, state::State, stream,
+};
 
 /// Retry time for requests that arrive before a configuration is known.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
@@ -32,6 +34,9 @@
     pub(crate) envelope: Envelope,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Service,
+    /// Account whose key the client presented; `None` on public routes without
+    /// a valid key, and if the configuration has no accounts.
+    pub(crate) account: Option<Arc<Account>>,
     pub(crate) started_at: Instant,
     /// The client's deadline or the route's timeout, whichever comes first.
     pub(crate) deadline: Instant,
@@ -42,9 +47,50 @@
         &self.envelope.request
     }
 
+    /// Rank of the request.
+    pub(crate) fn rank(&self) -> u8 {
+        self.route.rank_for(self.account.as_deref())
+    }
+
     /// Key of the request's turn in the ledger.
     pub(crate) fn turn_key(&self) -> TurnKey {
-        TurnKey { turn: self.id().clone(), program: self.envelope.turn.program.clone() }
+        TurnKey { turn: self.owned(self.id()), program: self.program() }
+    }
+
+    /// The program of the request, as it is known under its account.
+    pub(crate) fn program(&self) -> Option<Name> {
+        self.envelope.turn.program.as_ref().map(|program| self.owned(program))
+    }
+
+    /// The turn that the request continues, as it is known under its account.
+    pub(crate) fn previous(&self) -> Option<Name> {
+        self.envelope.turn.previous.as_ref().map(|previous| self.owned(previous))
+    }
+
+    /// The name of an id under the request's account.
+    pub(crate) fn owned(&self, id: &Name) -> Name {
+        owned_name(self.account.as_deref(), id)
+    }
+
+    /// Fails if the request may no longer be sent, as its key was withdrawn or
+    /// can't be checked any more.
+    pub(crate) fn check_key<D>(&self, state: &State<D>) -> Result<(), Failure> {
+        let Some(account) = &self.account else { return Ok(()) };
+        let checked =
+            state.identify_again(self.route.is_public, account, self.envelope.credential.as_ref());
+        if let Err(failure) = &checked {
+            log::info!("event=key_refused request={}{} reason={failure}", self.id(), self.caller());
+        }
+        checked
+    }
+
+    /// The account and the key's fingerprint for log lines; empty without an
+    /// account.
+    fn caller(&self) -> String {
+        match (&self.account, &self.envelope.credential) {
+            (Some(account), Some(key)) => format!(" account={} key={}", account.name, key.digest()),
+            _ => String::new(),
+        }
     }
 
     /// Prompt parts from which the uncached tokens are estimated. On routes
@@ -134,7 +180,7 @@
 ) -> ClientResponse<S> {
     let ms = job.started_at.elapsed().as_millis();
     let (id, kind, route) = (job.id(), job.route.kind.as_str(), &job.route.name);
-    let rank = job.route.rank;
+    let (rank, caller) = (job.rank(), job.caller());
     let result = match &answered {
         Ok(response) => response.status().as_str().to_owned(),
         Err(failure) => failure.code.as_str().to_owned(),
@@ -148,13 +194,13 @@
             let status = response.status().as_u16();
             log::info!(
                 "event=answered request={id} kind={kind} rank={rank} route={route} status={status} \
-                 ms={ms}"
+                 ms={ms}{caller}"
             );
             response
         }
         Err(failure) => {
             log::warn!(
-                "event=failed request={id} kind={kind} rank={rank} route={route} ms={ms} \
+                "event=failed request={id} kind={kind} rank={rank} route={route} ms={ms}{caller} \
                  reason={failure}"
             );
             response::failure(&failure).map(Either::Left)
@@ -166,10 +212,11 @@
 async fn read_request<D: Deployment>(
     state: &State<D>,
     envelope: Result<Envelope, EnvelopeError>,
-    head: Parts,
+    mut head: Parts,
     body: Incoming,
     started_at: Instant,
 ) -> Result<Job, Failure> {
+    let trusts_keys = state.trusts_keys();
     let Some(table) = state.table() else {
         return Err(Failure::unexecuted(
             Code::PlatformUnavailable,
@@ -180,12 +227,17 @@
     let envelope =
         envelope.map_err(|err| Failure::unexecuted(Code::BadRequest, err.to_string()))?;
     let route = find_route(&table, &head)?;
+    let account =
+        state.identify(&table, trusts_keys, route.is_public, envelope.credential.as_ref())?;
+    if table.has_accounts() {
+        state.deployment.remove_credential(&mut head.headers);
+    }
     let service = select_service(&table, &route, &envelope)?;
     let limit = envelope.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started_at + limit;
     let has_body = !body.is_end_stream();
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
-    Ok(Job { head, body, has_body, envelope, route, service, started_at, deadline })
+    Ok(Job { head, body, has_body, envelope, route, service, account, started_at, deadline })
 }
 
 fn find_route(table: &RouteTable, head: &Parts) -> Result<Arc<Route>, Failure> {
--- a/crates/gg-protocol/src/lib.rs
+++ b/crates/gg-protocol/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod overload;
 pub mod peer;
 pub mod step;
+pub mod suspension;
 pub mod view;
 
 pub use bounds::DirectoryBounds;
--- a/crates/gg-route/src/configuration.rs
+++ b/crates/gg-route/src/configuration.rs
@@ -4,6 +4,8 @@
 
 use gg_protocol::Name;
 
+use crate::Account;
+
 /// Delivery semantics of a route, which determine whether its requests may be
 /// repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,9 +80,17 @@
     /// Whether all gateways prefer the same replica for requests that refer to
     /// the same object.
     pub is_sticky: bool,
+    /// Whether requests need no key.
+    pub is_public: bool,
 }
 
 impl Route {
+    /// Rank of a request that runs for `account`: the account's if it has one,
+    /// else the route's.
+    pub fn rank_for(&self, account: Option<&Account>) -> u8 {
+        account.and_then(|account| account.rank).unwrap_or(self.rank)
+    }
+
     /// Whether a request may be sent again if it may have been executed.
     pub fn is_repeatable(&self) -> bool {
         self.kind.is_repeatable() || (self.kind == RouteKind::Stream && self.is_resumable)
@@ -137,4 +147,7 @@
     pub services: Vec<Service>,
     /// Limits for client requests.
     pub limits: ClientLimits,
+    /// All client accounts. Without any, requests need no key and none is
+    /// looked at.
+    pub accounts: Vec<Account>,
 }
--- a/crates/gg-route/src/envelope.rs
+++ b/crates/gg-route/src/envelope.rs
@@ -5,6 +5,8 @@
 use gg_protocol::Name;
 use quick_error::quick_error;
 
+use crate::Credential;
+
 /// Position of a request within a program, and the program's budget.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Turn {
@@ -27,7 +29,8 @@
     pub tokens: u32,
 }
 
-/// Identity, deadlines and sizes of a request.
+/// Identity, deadlines and sizes of a request. Names that clients choose are
+/// ASCII.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Envelope {
     /// Identity of this client attempt.
@@ -49,6 +52,8 @@
     pub object: Option<Name>,
     /// Program, previous turn and budget.
     pub turn: Turn,
+    /// Key that the client presented, if it can be read.
+    pub credential: Option<Credential>,
 }
 
 quick_error! {
--- a/crates/gg-route/tests/table.rs
+++ b/crates/gg-route/tests/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gg_route::{ClientLimits, Configuration, Retention, Route, RouteKind, RouteTable, Service};
+use gg_route::{Account, Configuration, Retention, Route, RouteKind, RouteTable, Service};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -19,6 +19,7 @@
         stores_turns: false,
         is_resumable: false,
         is_sticky: false,
+        is_public: false,
     }
 }
 
@@ -32,7 +33,7 @@
             event_tokens: 0,
             cache_tokens: 0,
         }],
-        limits: ClientLimits::default(),
+        ..Configuration::default()
     })
 }
 
@@ -53,6 +54,15 @@
     assert_eq!(name("a.example", "no-slash"), None);
 }
 
+#[test]
+fn account_rank_goes_first() {
+    let route = Route { rank: 4, ..route("r", "a.example", "/") };
+    let account = |rank| Account { name: "a".into(), keys: Vec::new(), rank, rate: None };
+    assert_eq!(route.rank_for(None), 4);
+    assert_eq!(route.rank_for(Some(&account(None))), 4);
+    assert_eq!(route.rank_for(Some(&account(Some(0)))), 0);
+}
+
 #[test]
 fn services_are_drawn_by_weight() {
     let split = Route {
--- a/crates/gg-settings/tests/files.rs
+++ b/crates/gg-settings/tests/files.rs
@@ -4,7 +4,8 @@
 
 use gg_protocol::{DirectoryBounds, Document, Profile, Rank};
 use gg_settings::{
-    DaemonSettings, KeyValue, SAMPLE, Settings, parse_configuration, print_document,
+    AccountSettings, DaemonSettings, KeyValue, RateSettings, SAMPLE, Settings, parse_configuration,
+    print_document,
 };
 use proptest::prelude::*;
 
@@ -64,6 +65,34 @@
     assert_eq!(faults.len(), 3, "{faults:?}");
 }
 
+/// Settings of client accounts that a template leaves empty are off.
+#[test]
+fn account_settings() {
+    let parse = |accounts: &str| {
+        let text = format!(
+            "[instance]\nname = a\ndata_centre = north\n[directory]\naddress = 127.0.0.1:1\n\
+             [gateway]\nclients = 127.0.0.1:2\nready = 127.0.0.1:3\n{accounts}"
+        );
+        match Settings::parse("a.ini", &text) {
+            Ok(Settings::Gateway(gateway, ..)) => Ok(gateway.accounts),
+            Ok(other) => panic!("{other:?}"),
+            Err(faults) => Err(faults.0),
+        }
+    };
+    let off = Ok(AccountSettings::default());
+    assert_eq!(parse(""), off);
+    let empty = "[accounts]\nrate_window_s =\nrate_overage =\nrate_slack =\n";
+    assert_eq!(parse(empty), off);
+    let rate = RateSettings { window: Duration::from_secs(5), overage: 0.1, slack: 20.0 };
+    let all = "[accounts]\nrate_window_s = 5\nrate_overage = 0.1\nrate_slack = 20\n";
+    let expected = AccountSettings { rate: Some(rate) };
+    assert_eq!(parse(all), Ok(expected));
+    for wrong in ["rate_overage = x", "rate_slack = -1", "rate_window_s = -1"] {
+        let faults = parse(&format!("[accounts]\n{wrong}\n")).expect_err(wrong);
+        assert_eq!((faults.len(), &*faults[0].section), (1, "accounts"), "{faults:?}");
+    }
+}
+
 proptest! {
     /// A printed document parses to the same document and version.
     #[test]
