Credit for request rates of client accounts: issuers and decision

Up to three ledger instances issue credit for the requests of an account with a rate, in equal parts. They are found as the issuers of permits are; the rendezvous moved to issuers.rs, its results are the same. An issuer also decides which programs of the account begin, so that those in progress have credit for the rest of their requests.

Deployments without rates send the same bytes as before. Nothing asks yet.

--- a/crates/gg-ledger/src/link.rs
+++ b/crates/gg-ledger/src/link.rs
@@ -331,7 +331,7 @@
         };
         let frame = time::timeout(SILENCE_TIMEOUT, handshake).await??;
         match decode_reply(&frame).map_err(io::Error::other)?.body {
-            ReplyBody::Pong => {
+            ReplyBody::Pong { .. } => {
                 *lock(&self.last_reply) = Instant::now();
                 Ok(())
             }
@@ -347,7 +347,8 @@
 
     fn encode_ping(&self) -> Bytes {
         let disk = self.member.disk;
-        encode_request(&Request { id: PING_ID, partition: 0, epoch: 0, disk, op: Op::Ping })
+        let op = Op::Ping { credit: None };
+        encode_request(&Request { id: PING_ID, partition: 0, epoch: 0, disk, op })
     }
 }
 
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -17,9 +17,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    AgedFact, Capacity, Layout, LedgerSet, LimitReport, LogClock, LogEntry, LogReader, LogTime,
-    Opener, OverloadReport, PartitionEntry, PermitIssuer, PermitReply, PermitRequest,
-    PollingClients, TunnelOffer, Usage,
+    AgedFact, Capacity, CreditIssuer, CreditReply, CreditRequest, Layout, LedgerSet, LimitReport,
+    LogClock, LogEntry, LogReader, LogTime, Opener, OverloadReport, PartitionEntry, PermitIssuer,
+    PermitReply, PermitRequest, PollingClients, TunnelOffer, Usage,
     commits::{Batch, CommitQueue, write_commits},
     crashes::log_fact,
     partition_store::{CRASHES_PARTITION, PartitionStore},
@@ -95,6 +95,7 @@
     mirror: Mutex<Mirror>,
     polling_clients: Mutex<PollingClients>,
     permit_issuer: Mutex<PermitIssuer>,
+    credit_issuer: Mutex<CreditIssuer>,
     commits: CommitQueue,
     clock: LogClock,
     log: LogReader,
@@ -146,6 +147,7 @@
             mirror: Mutex::default(),
             polling_clients: Mutex::default(),
             permit_issuer: Mutex::default(),
+            credit_issuer: Mutex::default(),
             commits,
             clock,
             log: log.reader(),
@@ -335,6 +337,30 @@
         lock(&self.shared.permit_issuer).sample(&mut rand::rng(), Instant::now())
     }
 
+    /// Decides on a request for credit of a client account.
+    pub(crate) fn issue_credit(&self, request: &CreditRequest) -> CreditReply {
+        let now = Instant::now();
+        let mut issuer = lock(&self.shared.credit_issuer);
+        if issuer.observe(&request.account, request.limit, now) {
+            let (account, limit) = (&request.account, request.limit);
+            log::info!(
+                "event=credit_limit account={account} rate={:.2} depth={:.1} version={}",
+                limit.rate,
+                limit.depth,
+                limit.version
+            );
+        }
+        let reply = issuer.request(request, self.disk(), now);
+        drop(issuer);
+        let result = match reply {
+            CreditReply::Granted(_) => "granted",
+            CreditReply::Denied { .. } => "denied",
+            CreditReply::NotIssuer => "not_issuer",
+        };
+        self.shared.metrics.count("credit_issued", &[("result", result)]);
+        reply
+    }
+
     /// Records the limit that a replica announces.
     pub(crate) fn observe_limit(&self, replica: &Name, limit: LimitReport) {
         let is_changed = lock(&self.shared.permit_issuer).observe(replica, limit, Instant::now());
@@ -380,6 +406,7 @@
             if store.layout().covers(&layout) {
                 return;
             }
+            lock(&self.shared.credit_issuer).record_layout(layout.disks(), Instant::now());
             store.set_layout(layout, self.disk())
         };
         self.enqueue(&entries);
--- a/crates/gg-ledger/src/permit_issuer.rs
+++ b/crates/gg-ledger/src/permit_issuer.rs
@@ -137,6 +137,6 @@
 }
 
 /// Whole milliseconds, rounded up: a permit is not used before it is due.
-fn ceil_ms(time: Duration) -> u32 {
+pub(crate) fn ceil_ms(time: Duration) -> u32 {
     u32::try_from(time.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
 }
--- a/crates/gg-ledger/src/permits.rs
+++ b/crates/gg-ledger/src/permits.rs
@@ -6,10 +6,10 @@
 
 use crate::{
     Layout, Ledger, LimitReport, PermitReply, PermitRequest,
+    issuers::issuers,
     link::{Link, Scope},
     node::lock,
     protocol::{Op, ReplyBody},
-    set::fnv1a,
 };
 
 /// Timeout of a permit request to one issuer. A link is slow, and then not used
@@ -24,23 +24,9 @@
 /// what a replica gets while some clients use either.
 const ISSUER_SHARES: [f64; 2] = [1.0, 0.3];
 
-/// Disks of the instances that issue the permits of a replica, best first. All
-/// clients and instances with the same layout agree on them (rendezvous
-/// hashing).
+/// Disks of the instances that issue the permits of a replica, best first.
 pub fn permit_issuers(layout: &Layout, replica: &str) -> [Option<u64>; 2] {
-    let key = fnv1a(replica.as_bytes());
-    let sets = layout.partitions.iter();
-    let disks = sets.flat_map(|set| set.members.iter().chain(set.next.iter().flatten()));
-    let mut best: [Option<(u64, u64)>; 2] = [None, None];
-    for member in disks {
-        let candidate = Some((mix(key ^ member.disk), member.disk));
-        if candidate > best[0] {
-            best = [candidate, best[0]];
-        } else if candidate != best[0] && candidate > best[1] {
-            best[1] = candidate;
-        }
-    }
-    best.map(|issuer| issuer.map(|(_, disk)| disk))
+    issuers(&layout.disks(), replica)
 }
 
 /// Share of a replica's limit that the instance with this disk may grant, if it
@@ -50,13 +36,6 @@
     Some(ISSUER_SHARES[rank])
 }
 
-/// Spreads the bits of a key evenly (the finalizer of SplitMix64).
-fn mix(key: u64) -> u64 {
-    let key = (key ^ (key >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let key = (key ^ (key >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    key ^ (key >> 31)
-}
-
 impl Ledger {
     /// Requests a permit to send one request to a replica that announces a rate
     /// limit. Returns the share of the limit that the replying issuer may grant
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -20,8 +20,8 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::{
-    AgedFact, Layout, LimitReport, LogEntry, OverloadReport, PermitReply, PermitRequest,
-    TunnelOffer, TurnRecord,
+    AgedFact, CreditReply, CreditRequest, Layout, LimitReport, LogEntry, OverloadReport,
+    PermitReply, PermitRequest, TunnelOffer, TurnRecord,
     account::{LastRun, TurnSpend},
     index::Chain,
 };
@@ -104,8 +104,13 @@
         /// Epochs of all partitions, as known to the caller.
         epochs: Vec<u64>,
     },
-    /// Checks that the instance responds.
-    Ping,
+    /// Checks that the instance responds, and may ask it for credit. Versions
+    /// that issue none reply without any.
+    Ping {
+        /// Request for credit. A trailing field.
+        #[serde(skip)]
+        credit: Option<CreditRequest>,
+    },
     /// Returns directory updates and exchanges overload statistics and crash
     /// facts.
     Poll {
@@ -171,7 +176,11 @@
     /// Reply to [`Op::Fetch`] and [`Op::Find`].
     Fetched(Chain),
     /// Reply to [`Op::Ping`].
-    Pong,
+    Pong {
+        /// Reply to its request for credit. A trailing field.
+        #[serde(skip)]
+        credit: Option<CreditReply>,
+    },
     /// Reply to [`Op::Poll`].
     Poll {
         /// Directory updates.
@@ -241,6 +250,7 @@
 pub(crate) fn encode_request(request: &Request) -> Bytes {
     match &request.op {
         Op::Open { continues: Some(turn), .. } => encode(request, Some(turn)),
+        Op::Ping { credit: Some(credit) } => encode(request, Some(credit)),
         _ => encode(request, None::<&Name>),
     }
 }
@@ -250,6 +260,7 @@
     match &reply.body {
         ReplyBody::Opened { has_gap: true, .. } => encode(reply, Some(&true)),
         ReplyBody::PullChunk { ages_ms, .. } => encode(reply, Some(ages_ms)),
+        ReplyBody::Pong { credit: Some(credit) } => encode(reply, Some(credit)),
         _ => encode(reply, None::<&()>),
     }
 }
@@ -266,8 +277,10 @@
 /// Decodes a request from a frame's payload.
 pub(crate) fn decode_request(frame: &BytesMut) -> Result<Request, FrameError> {
     let (mut request, rest): (Request, _) = postcard::take_from_bytes(frame)?;
-    if let Op::Open { continues, .. } = &mut request.op {
-        *continues = trailing(rest)?;
+    match &mut request.op {
+        Op::Open { continues, .. } => *continues = trailing(rest)?,
+        Op::Ping { credit } => *credit = trailing(rest)?,
+        _ => {}
     }
     Ok(request)
 }
@@ -278,6 +291,7 @@
     match &mut reply.body {
         ReplyBody::Opened { has_gap, .. } => *has_gap = trailing(rest)?.unwrap_or_default(),
         ReplyBody::PullChunk { ages_ms, .. } => *ages_ms = trailing(rest)?.unwrap_or_default(),
+        ReplyBody::Pong { credit } => *credit = trailing(rest)?,
         _ => {}
     }
     Ok(reply)
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -139,7 +139,10 @@
         Op::Find { turn, .. } => {
             reply_chain(node, id, Some(Lookup::Any(turn)), replies, fetched).await;
         }
-        Op::Ping => send_reply(replies, id, ReplyBody::Pong).await,
+        Op::Ping { credit } => {
+            let credit = credit.map(|request| node.issue_credit(&request));
+            send_reply(replies, id, ReplyBody::Pong { credit }).await;
+        }
         Op::Poll { from, known, overload, crashes, offer, wants_peers } => {
             let updates = node.mirror().updates(&known);
             let (polling_clients, overload) = node.record_poll(from.clone(), overload);
@@ -207,7 +210,7 @@
 /// Whether a request belongs to no partition and is valid in any epoch.
 fn is_unpartitioned(op: &Op) -> bool {
     match op {
-        Op::Ping
+        Op::Ping { .. }
         | Op::Poll { .. }
         | Op::Mirror(_)
         | Op::ReportCrash(_)
--- a/crates/gg-ledger/tests/formats.rs
+++ b/crates/gg-ledger/tests/formats.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use gg_ledger::{
-    LedgerError, LimitReport, LogFile, OpenRequest, PartitionEntry, PermitReply, PermitRequest,
-    PollTunnels, RequestFingerprint, TunnelOffer,
+    CreditLimit, CreditRequest, CreditUse, LedgerError, LimitReport, LogFile, OpenRequest,
+    PartitionEntry, PermitReply, PermitRequest, PollTunnels, RequestFingerprint, TunnelOffer,
 };
 use gg_protocol::OverloadStats;
 use support::{
@@ -355,6 +355,18 @@
     }
 }
 
+fn credit_request() -> CreditRequest {
+    CreditRequest {
+        account: "account-1".into(),
+        limit: CreditLimit { version: 1, rate: 10.0, depth: 10.0, start: 1.0 },
+        work: CreditUse::New,
+        program: Some(1),
+        count: 1,
+        returned: 0,
+        used: Vec::new(),
+    }
+}
+
 /// A client asks an instance of 735404d as a client of 735404d did, and
 /// understands its replies.
 #[tokio::test]
@@ -406,6 +418,9 @@
     let permit = PermitRequest { replica: "replica-2".into(), limit, max_wait_ms: 0 };
     assert_eq!(ledger.request_permit(&permit).await.0, PermitReply::Unlimited);
     assert!(ledger.has_account(&program.as_str().into(), deadline()).await);
+    let credit = ledger.request_credit(recorded::DISK, credit_request()).await;
+    assert_eq!(credit, None, "a ping for 735404d, which issues no credit");
+    assert!(ledger.has_account(&program.as_str().into(), deadline()).await, "still connected");
     let unknown: Vec<Request> = unknown.lock().expect("not poisoned").clone();
     assert_eq!(unknown, [], "requests that 735404d did not send");
 }
