Gateways send requests of accounts with a rate only with credit

An account could send any number of requests. With `rate_window_s` set, a gateway asks the account's issuers for credit when a request is admitted, asks again if it is void when the request is sent, and gives it back if the request was refused. New programs are refused at once (429 with the wait that the issuers name), requests of programs in progress wait up to 0.3 of their time. Without a reachable issuer the answer is 503. A second copy of a request and a resumed stream need credit of their own. Credit is void a quarter of a second after the call for it was sent, by a clock that counts suspensions.

--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -4,13 +4,14 @@
 use std::time::{Duration, Instant};
 
 use gg_dispatch::{Admission, NewWork, Occupancy};
-use gg_ledger::OverloadReport;
+use gg_ledger::{CreditUse, OverloadReport};
 use gg_protocol::{Code, Failure, Name, OverloadStats};
 use gg_route::RouteKind;
 use rand::Rng;
 
 use crate::{
     call::refusal,
+    credit,
     fleet::Service,
     place::{no_permit, permit_wait, untried},
     proxy::Job,
@@ -35,7 +36,8 @@
 
 /// Decides on a request that starts new work: the first turn of a program, or a
 /// request outside any program. All other requests belong to work that was
-/// admitted before; they are always admitted, so that it can finish.
+/// admitted before; they are always admitted, so that it can finish, if their
+/// account has credit for them.
 pub(crate) async fn admit<D>(state: &State<D>, job: &Job) -> Result<(), Failure> {
     let turn = &job.envelope.turn;
     let is_continuation = match (job.route.kind, &turn.program) {
@@ -46,19 +48,23 @@
         (_, program) => program.is_some(),
     };
     if is_continuation {
-        return Ok(());
+        return credit::admit(state, job, CreditUse::InProgress).await;
     }
     let checked = check_buffers(state, job)
         .and_then(|()| check_permits(state, job))
         .and_then(|()| check_capacity(state, job));
-    let Err(refusal) = checked else { return Ok(()) };
+    let admitted = match checked {
+        Ok(()) => credit::admit(state, job, CreditUse::New).await,
+        refused => refused,
+    };
+    let Err(refusal) = admitted else { return Ok(()) };
     // Earlier turns of the program may have been handled by other gateways.
     if let Some(program) = &turn.program
         && state.ledger.has_account(program, job.deadline).await
     {
         state.metrics.count("known_by_account", &[]);
         log::info!("event=under_way request={} program={program}", job.id());
-        return Ok(());
+        return credit::admit(state, job, CreditUse::InProgress).await;
     }
     state.metrics.count("refused_new", &[("rank", &job.rank().to_string())]);
     Err(refusal)
--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     admit::{admit, record_delay},
-    crash,
+    crash, credit,
     permit::Permit,
     place::{place, select, untried},
     proxy::Job,
@@ -63,7 +63,9 @@
                 Err(outcome) => outcome,
             },
             () = hedge_timer, if attempts.may_repeat() => {
-                if let Some(place) = hedge(state, job, &tried) {
+                if credit::may_hedge(state, job).await
+                    && let Some(place) = hedge(state, job, &tried)
+                {
                     tried.push(place.replica.upstream.id.clone());
                     attempts.begin_send();
                     in_flight.push(send_once(state, job, place));
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -66,8 +66,9 @@
         settings.tunnels,
         metrics.clone(),
     );
-    let state =
-        Arc::new(State::new(deployment, settings.centre.clone(), ledger, connector, metrics));
+    let rate = settings.accounts.rate;
+    let state = State::new(deployment, settings.centre.clone(), ledger, connector, rate, metrics);
+    let state = Arc::new(state);
     if let Some(address) = settings.metrics {
         let refresh = {
             let state = state.clone();
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! `proxy.rs` handles a request from start to end; each step has a module of
 //! its own.
 
+mod account_credit;
 mod admit;
 mod buffer_budget;
 mod call;
@@ -12,6 +13,7 @@
 mod choice;
 mod connect;
 mod crash;
+mod credit;
 mod discovery;
 mod events;
 mod fleet;
@@ -37,6 +39,7 @@
 mod tunnel;
 mod tunnel_peers;
 
+pub use account_credit::{AccountCredit, Denial};
 pub use admit::STREAM_LATE_SHARE;
 pub use buffer_budget::{BufferBudget, Reservation};
 pub use choice::{Candidate, Choice, ChoiceSettings, choose};
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -12,7 +12,7 @@
 use crate::{
     call::{limited, refusal},
     choice::{Candidate, ChoiceSettings, choose},
-    crash,
+    crash, credit,
     fleet::Service,
     permit::Permit,
     proxy::{Job, hash},
@@ -95,6 +95,7 @@
         if let Some(selected) = select(state, job, &candidates, opened) {
             let wait_max = selected.wait_max.min(permit_max);
             if let Some(permit) = Permit::acquire(state, job, &selected.replica, wait_max).await {
+                credit::renew(state, job).await.map_err(unplaced)?;
                 return Ok(selected.occupy(permit, in_flight, job, started_at, tried.len() + 1));
             }
             if Instant::now() >= permit_limit {
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -15,7 +15,10 @@
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::{self, Instant};
 
-use crate::{call, crash, relay::RelayError, response, retry::Attempts, state::State, stream};
+use crate::{
+    call, crash, credit::HeldCredit, relay::RelayError, response, retry::Attempts, state::State,
+    stream,
+};
 
 /// Retry time for requests that arrive before a configuration is known.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
@@ -35,6 +38,8 @@
     /// Account whose key the client presented; `None` on public routes without
     /// a valid key, and if the configuration has no accounts.
     pub(crate) account: Option<Arc<Account>>,
+    /// Credit of the account to send the request.
+    pub(crate) credit: HeldCredit,
     pub(crate) started_at: Instant,
     /// The client's deadline or the route's timeout, whichever comes first.
     pub(crate) deadline: Instant,
@@ -194,8 +199,20 @@
     let deadline = started_at + limit;
     let has_body = !body.is_end_stream();
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
-    let account = None;
-    Ok(Job { head, body, has_body, envelope, route, service, account, started_at, deadline })
+    let account = envelope.credential.as_ref().and_then(|key| table.account(key)).cloned();
+    let credit = HeldCredit::default();
+    Ok(Job {
+        head,
+        body,
+        has_body,
+        envelope,
+        route,
+        service,
+        account,
+        credit,
+        started_at,
+        deadline,
+    })
 }
 
 fn find_route(table: &RouteTable, head: &Parts) -> Result<Arc<Route>, Failure> {
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -15,6 +15,7 @@
     admit::record_full,
     connect::SILENCE_TIME,
     crash::CrashGuard,
+    credit,
     permit::log_limit_change,
     pieces::Pieces,
     pool::Connection,
@@ -110,7 +111,12 @@
     outgoing: Outgoing<'_>,
     place: Placement,
 ) -> Result<Sent<D>, Outcome> {
-    let sent = try_send(state, job, outgoing, place).await;
+    let sending = try_send(state, job, outgoing, place);
+    let may_have_run = |sent: &Result<Sent<D>, Outcome>| {
+        !matches!(sent, Err(Outcome::Unsent | Outcome::Unexecuted))
+    };
+    let sent = credit::spend(state, job, sending, may_have_run).await;
+    let sent = sent.unwrap_or(Err(Outcome::Unsent));
     let outcome = match &sent {
         Ok(_) => "answered",
         Err(Outcome::Unsent) => "unsent",
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -13,9 +13,10 @@
 use gg_metrics::Metrics;
 use gg_protocol::Name;
 use gg_route::{Configuration, RouteTable};
+use gg_settings::RateSettings;
 use tokio_util::sync::CancellationToken;
 
-use crate::{BufferBudget, Fleet, Programs, connect::Connector};
+use crate::{BufferBudget, Fleet, Programs, connect::Connector, credit::Credits};
 
 /// Hedged requests as a share of responses. Above this share slow responses are
 /// a sign of overload, and more requests would add to it.
@@ -34,7 +35,9 @@
     pub(crate) centre: Name,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) connector: Arc<Connector>,
-    pub(crate) ledger: Ledger,
+    pub(crate) ledger: Arc<Ledger>,
+    /// Credit for requests of accounts with a rate.
+    pub(crate) credits: Credits,
     pub(crate) metrics: Metrics,
     /// Budget for hedged requests, as a share of responses.
     pub(crate) hedges: Mutex<RetryBudget>,
@@ -57,9 +60,12 @@
         centre: Name,
         ledger: Ledger,
         connector: Connector,
+        rate: Option<RateSettings>,
         metrics: Metrics,
     ) -> Self {
+        let ledger = Arc::new(ledger);
         State {
+            credits: Credits::new(ledger.clone(), rate),
             metrics,
             hedges: Mutex::new(RetryBudget::new(HEDGE_SHARE, HEDGE_BURST)),
             deployment,
