Issuers of credit report use, and hold back after they were replaced

An instance that comes in for another one earns no credit for 2 s instead of 1 s: the layout replaces a silent one after 1.2 s at the earliest, and gateways that reach only the former one go on with it for a while. After its own restart with the layout that it had followed before, which the epochs in its log show, nobody took its place, so it earns at once; with a hold of 2 s there, an account would lose all but a start of six requests for that time when all are killed.

`event=account_use` every 10 s: what the eight accounts with the most calls got, and the others together.

--- a/crates/gg-ledger/src/credit_issuer.rs
+++ b/crates/gg-ledger/src/credit_issuer.rs
@@ -16,8 +16,9 @@
 };
 
 /// An instance that becomes an issuer earns no credit for this long. The former
-/// one learns within it that it was replaced.
-const HOLD: Duration = Duration::from_secs(1);
+/// one learns within it that it was replaced, and gateways that reach only that one
+/// stop using it.
+const HOLD: Duration = Duration::from_secs(2);
 
 /// Share of the depth that is left to others when an instance asks for more than
 /// one request.
@@ -35,6 +36,12 @@
 /// Weight of an account's means in those that are assumed for others.
 const ASSUMED_WEIGHT: f64 = 0.02;
 
+/// Interval between reports of what accounts use.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Number of accounts in a report.
+const REPORT_MAX: usize = 8;
+
 /// Work that a request belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum CreditUse {
@@ -79,27 +86,45 @@
     NotIssuer,
 }
 
+/// What an account got from one issuer since the last report.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AccountUse {
+    /// Requests that were granted.
+    pub granted: u32,
+    /// Calls that were denied for programs in progress.
+    pub denied: u32,
+    /// Calls that were denied for new work.
+    pub denied_new: u32,
+    /// Requests that may be granted now.
+    pub level: f64,
+    /// Programs in progress.
+    pub programs: usize,
+}
+
 /// Credit of all accounts for which one instance is an issuer.
 #[derive(Clone, Debug, Default)]
 pub struct CreditIssuer {
     accounts: HashMap<Name, AccountCredit>,
-    /// Disks of the layouts that this instance has followed, oldest first.
+    /// Disks of the layouts that this instance has followed, oldest first, and
+    /// from when on those that came in with each earn credit.
     layouts: Vec<(Instant, Vec<u64>)>,
     /// Means over the programs of all accounts.
     means: ProgramMeans,
     swept_at: Option<Instant>,
+    reported_at: Option<Instant>,
 }
 
 /// Credit of one account.
 #[derive(Clone, Debug)]
 struct AccountCredit {
     limit: CreditLimit,
-    /// Since when the instance has been an issuer of the account.
+    /// From when on the instance has earned credit as an issuer of the account.
     since: Option<Instant>,
     /// Requests that may be granted, as of `updated_at`.
     level: f64,
     updated_at: Instant,
     programs: ProgramAdmission,
+    used: AccountUse,
 }
 
 /// An instance's place among the issuers of an account.
@@ -111,12 +136,15 @@
 }
 
 impl CreditIssuer {
-    /// Records the disks of a layout from `now` on.
-    pub fn record_layout(&mut self, disks: Vec<u64>, now: Instant) {
+    /// Records the disks of a layout from `now` on. `is_former` says that the
+    /// instance restarted and had followed the same layout before, so that nobody
+    /// took its place.
+    pub fn record_layout(&mut self, disks: Vec<u64>, is_former: bool, now: Instant) {
         if self.layouts.last().is_some_and(|(_, known)| *known == disks) {
             return;
         }
-        self.layouts.push((now, disks));
+        let is_former = is_former && self.layouts.is_empty();
+        self.layouts.push((if is_former { now } else { now + HOLD }, disks));
         let is_old = |at: Instant| now.saturating_duration_since(at) > LAYOUTS_TTL;
         while self.layouts.get(1).is_some_and(|(at, _)| is_old(*at)) {
             self.layouts.remove(0);
@@ -128,9 +156,14 @@
     pub fn observe(&mut self, account: &Name, limit: CreditLimit, now: Instant) -> bool {
         self.sweep(now);
         let Some(known) = self.accounts.get_mut(account) else {
-            let programs = ProgramAdmission::default();
-            let credit =
-                AccountCredit { limit, since: None, level: 0.0, updated_at: now, programs };
+            let credit = AccountCredit {
+                limit,
+                since: None,
+                level: 0.0,
+                updated_at: now,
+                programs: ProgramAdmission::default(),
+                used: AccountUse::default(),
+            };
             self.accounts.insert(account.clone(), credit);
             return true;
         };
@@ -158,12 +191,32 @@
         }
         let assumed = self.means;
         let reply = account.decide(request, part, place, assumed, now);
+        account.count(request.work, reply);
         if let (CreditReply::Granted(_), Some(means)) = (reply, account.programs.means()) {
             self.means.blend(means, ASSUMED_WEIGHT);
         }
         reply
     }
 
+    /// Reports what the accounts used that used most, and what the others used
+    /// together under the name `-`; at most once in [`REPORT_INTERVAL`].
+    pub fn report(&mut self, now: Instant) -> Vec<(Name, AccountUse)> {
+        let reported_at = *self.reported_at.get_or_insert(now);
+        if now.saturating_duration_since(reported_at) < REPORT_INTERVAL {
+            return Vec::new();
+        }
+        self.reported_at = Some(now);
+        let used = self.accounts.iter_mut().map(|(name, account)| (name.clone(), account.report()));
+        let mut used: Vec<_> = used.filter(|(_, used)| used.calls() > 0).collect();
+        used.sort_by_key(|(_, used)| std::cmp::Reverse(used.calls()));
+        let others = used.split_off(used.len().min(REPORT_MAX));
+        if !others.is_empty() {
+            let sum = others.into_iter().map(|(_, used)| used).reduce(AccountUse::sum);
+            used.extend(sum.map(|sum| ("-".into(), sum)));
+        }
+        used
+    }
+
     /// Removes accounts without recent requests.
     fn sweep(&mut self, now: Instant) {
         let is_recent = |at: Instant, time: Duration| now.saturating_duration_since(at) < time;
@@ -175,6 +228,22 @@
     }
 }
 
+impl AccountUse {
+    fn calls(&self) -> u32 {
+        self.granted + self.denied + self.denied_new
+    }
+
+    fn sum(self, other: Self) -> Self {
+        AccountUse {
+            granted: self.granted + other.granted,
+            denied: self.denied + other.denied,
+            denied_new: self.denied_new + other.denied_new,
+            level: self.level + other.level,
+            programs: self.programs + other.programs,
+        }
+    }
+}
+
 impl AccountCredit {
     /// Adds the credit that was earned since the last call. Whoever has just
     /// become an issuer doesn't know what was granted before.
@@ -182,7 +251,7 @@
         if self.since != Some(since) {
             self.since = Some(since);
             self.level = part.start;
-            self.updated_at = since + HOLD;
+            self.updated_at = since;
         }
         let earned = now.saturating_duration_since(self.updated_at).as_secs_f64();
         self.level = (self.level + part.rate * earned).min(part.depth);
@@ -200,6 +269,19 @@
         }
     }
 
+    fn count(&mut self, work: CreditUse, reply: CreditReply) {
+        match (reply, work) {
+            (CreditReply::Granted(count), _) => self.used.granted += count,
+            (_, CreditUse::New) => self.used.denied_new += 1,
+            (_, CreditUse::InProgress) => self.used.denied += 1,
+        }
+    }
+
+    fn report(&mut self) -> AccountUse {
+        let used = std::mem::take(&mut self.used);
+        AccountUse { level: self.level, programs: self.programs.in_progress(), ..used }
+    }
+
     fn decide(
         &mut self,
         request: &CreditRequest,
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -47,7 +47,7 @@
 pub use capacity::{Capacity, Opener, Usage};
 pub use client::{Ledger, OpenRequest, OpenedTurn, TurnKey};
 pub use crashes::{AgedFact, CrashFact, CrashFacts, RequestFingerprint};
-pub use credit_issuer::{CreditIssuer, CreditReply, CreditRequest, CreditUse};
+pub use credit_issuer::{AccountUse, CreditIssuer, CreditReply, CreditRequest, CreditUse};
 pub use credits::digest;
 pub use encoding::encode_entry;
 pub use entry::{LogEntry, PartitionEntry, TurnRecord};
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -1,6 +1,7 @@
 //! A ledger instance: its state, its log and its startup.
 
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     path::PathBuf,
@@ -96,6 +97,8 @@
     polling_clients: Mutex<PollingClients>,
     permit_issuer: Mutex<PermitIssuer>,
     credit_issuer: Mutex<CreditIssuer>,
+    /// Epochs of the partitions that the log held at the start.
+    recovered_epochs: HashMap<u16, u64>,
     commits: CommitQueue,
     clock: LogClock,
     log: LogReader,
@@ -143,6 +146,7 @@
         let shared = Shared {
             disk: stats.disk,
             incarnation: rand::random(),
+            recovered_epochs: store.epochs(),
             store: Mutex::new(store),
             mirror: Mutex::default(),
             polling_clients: Mutex::default(),
@@ -351,6 +355,17 @@
             );
         }
         let reply = issuer.request(request, self.disk(), now);
+        for (account, used) in issuer.report(now) {
+            log::info!(
+                "event=account_use account={account} granted={} denied={} denied_new={} \
+                 level={:.1} programs={}",
+                used.granted,
+                used.denied,
+                used.denied_new,
+                used.level,
+                used.programs
+            );
+        }
         drop(issuer);
         let result = match reply {
             CreditReply::Granted(_) => "granted",
@@ -406,7 +421,12 @@
             if store.layout().covers(&layout) {
                 return;
             }
-            lock(&self.shared.credit_issuer).record_layout(layout.disks(), Instant::now());
+            let mut sets = (0..).zip(&layout.partitions);
+            let recovered = &self.shared.recovered_epochs;
+            let is_former = sets.all(|(number, set)| recovered.get(&number) == Some(&set.epoch));
+            let mut issuer = lock(&self.shared.credit_issuer);
+            issuer.record_layout(layout.disks(), is_former, Instant::now());
+            drop(issuer);
             store.set_layout(layout, self.disk())
         };
         self.enqueue(&entries);
--- a/crates/gg-ledger/src/partition_store.rs
+++ b/crates/gg-ledger/src/partition_store.rs
@@ -144,6 +144,11 @@
         entries
     }
 
+    /// Epochs of all known partitions.
+    pub(crate) fn epochs(&self) -> HashMap<u16, u64> {
+        self.partitions.iter().map(|(partition, state)| (*partition, state.epoch)).collect()
+    }
+
     /// Epoch for which a partition was copied from other members.
     pub(crate) fn copied(&self, partition: u16) -> Option<u64> {
         self.partitions.get(&partition).and_then(|state| state.copied)
--- a/crates/gg-ledger/src/program_admission.rs
+++ b/crates/gg-ledger/src/program_admission.rs
@@ -101,6 +101,11 @@
 }
 
 impl ProgramAdmission {
+    /// Number of programs in progress.
+    pub fn in_progress(&self) -> usize {
+        self.programs.len()
+    }
+
     /// Whether a program is in progress.
     pub fn is_active(&self, program: u32, now: Instant) -> bool {
         self.programs.get(&program).is_some_and(|program| idle_time(program, now) < END_IDLE)
