--- a/crates/gg-ledger/tests/credit.rs
+++ b/crates/gg-ledger/tests/credit.rs
@@ -173,6 +173,19 @@
     assert_eq!(drain(&mut issuer, 11, limit, now, 1), 1);
 }
 
+/// A call for each request has to fit into the traffic for control.
+#[test]
+fn messages_are_small() {
+    let account = "account-of-usual-length".into();
+    let limit = BOUNDS.limit(4_000, 136.2, 40.3);
+    let asked = CreditRequest { account, program: Some(u32::MAX), ..request(limit, 1) };
+    let asked = postcard::to_allocvec(&asked).expect("encoded").len();
+    let denied = CreditReply::Denied { wait_ms: 4_000 };
+    let denied = postcard::to_allocvec(&denied).expect("encoded").len();
+    println!("{asked} and {denied} bytes");
+    assert!(asked <= 64 && denied <= 4, "{asked} and {denied} bytes");
+}
+
 /// A report names the accounts that used most, and sums up the rest.
 #[test]
 fn use_is_reported() {
