Issuers of a first layout earn credit at once

With the hold of 2 s an account got six requests in the first seconds of a deployment: gateways_share_rate served 0.89 of the rate where 0.9 is due, and programs_in_progress_come_first was told 429 at its second request (both in one run of account_rates). Nobody was an issuer before the first layout, which its epochs show, so there is nothing to wait for.

--- a/crates/gg-ledger/src/credit_issuer.rs
+++ b/crates/gg-ledger/src/credit_issuer.rs
@@ -136,9 +136,9 @@
 }
 
 impl CreditIssuer {
-    /// Records the disks of a layout from `now` on. `is_former` says that the
-    /// instance restarted and had followed the same layout before, so that nobody
-    /// took its place.
+    /// Records the disks of a layout from `now` on. `is_former` says that nobody
+    /// else was an issuer in the instance's place before: it is the first layout of
+    /// the deployment, or the one that the instance followed before a restart.
     pub fn record_layout(&mut self, disks: Vec<u64>, is_former: bool, now: Instant) {
         if self.layouts.last().is_some_and(|(_, known)| *known == disks) {
             return;
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -29,6 +29,7 @@
     pull::{self, PullError},
     recovery::{Recovered, recover},
     serve,
+    set::FIRST_EPOCH,
 };
 
 quick_error! {
@@ -423,7 +424,9 @@
             }
             let mut sets = (0..).zip(&layout.partitions);
             let recovered = &self.shared.recovered_epochs;
-            let is_former = sets.all(|(number, set)| recovered.get(&number) == Some(&set.epoch));
+            let is_former = sets.all(|(number, set)| {
+                set.epoch == FIRST_EPOCH || recovered.get(&number) == Some(&set.epoch)
+            });
             let mut issuer = lock(&self.shared.credit_issuer);
             issuer.record_layout(layout.disks(), is_former, Instant::now());
             drop(issuer);
--- a/crates/gg-ledger/src/set.rs
+++ b/crates/gg-ledger/src/set.rs
@@ -8,6 +8,9 @@
 /// Name of the layout's entry in the directory.
 pub const LAYOUT_NAME: &str = "layout";
 
+/// Epoch of the sets of the first layout.
+pub(crate) const FIRST_EPOCH: u64 = 1;
+
 /// Disk of one instance. An instance that lost its disk becomes a new member.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Member {
@@ -48,7 +51,7 @@
         let ordered = alternate_centres(members);
         let count = if members.len() <= size + 1 { 1 } else { members.len() };
         let set = |first: usize| LedgerSet {
-            epoch: 1,
+            epoch: FIRST_EPOCH,
             tolerated,
             members: ordered.iter().cycle().skip(first).take(size).cloned().collect(),
             next: None,
