--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -68,8 +68,10 @@
         metrics.clone(),
     );
     let revocation = Revocation::new(settings.bounds.revocation);
+    let rate = settings.accounts.rate;
     let centre = settings.centre.clone();
-    let state = Arc::new(State::new(deployment, centre, ledger, connector, revocation, metrics));
+    let state = State::new(deployment, centre, ledger, connector, revocation, rate, metrics);
+    let state = Arc::new(state);
     if let Some(address) = settings.metrics {
         let refresh = {
             let state = state.clone();
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! its own.
 
 mod access;
+mod account_credit;
 mod admit;
 mod buffer_budget;
 mod call;
@@ -13,6 +14,7 @@
 mod choice;
 mod connect;
 mod crash;
+mod credit;
 mod discovery;
 mod events;
 mod fleet;
@@ -40,6 +42,7 @@
 mod tunnel;
 mod tunnel_peers;
 
+pub use account_credit::{AccountCredit, Denial};
 pub use admit::STREAM_LATE_SHARE;
 pub use buffer_budget::{BufferBudget, Reservation};
 pub use choice::{Candidate, Choice, ChoiceSettings, choose};
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -16,7 +16,8 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    call, crash, owned_name, relay::RelayError, response, retry::Attempts, state::State, stream,
+    call, crash, credit::HeldCredit, owned_name, relay::RelayError, response, retry::Attempts,
+    state::State, stream,
 };
 
 /// Retry time for requests that arrive before a configuration is known.
@@ -37,6 +38,8 @@
     /// Account whose key the client presented; `None` on public routes without
     /// a valid key, and if the configuration has no accounts.
     pub(crate) account: Option<Arc<Account>>,
+    /// Credit of the account to send the request.
+    pub(crate) credit: HeldCredit,
     pub(crate) started_at: Instant,
     /// The client's deadline or the route's timeout, whichever comes first.
     pub(crate) deadline: Instant,
@@ -237,7 +240,19 @@
     let deadline = started_at + limit;
     let has_body = !body.is_end_stream();
     let body = read_body(body, table.limits.body_bytes, deadline).await?;
-    Ok(Job { head, body, has_body, envelope, route, service, account, started_at, deadline })
+    let credit = HeldCredit::default();
+    Ok(Job {
+        head,
+        body,
+        has_body,
+        envelope,
+        route,
+        service,
+        account,
+        credit,
+        started_at,
+        deadline,
+    })
 }
 
 fn find_route(table: &RouteTable, head: &Parts) -> Result<Arc<Route>, Failure> {
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -15,9 +15,10 @@
 use gg_platform::Confirmed;
 use gg_protocol::Name;
 use gg_route::{Configuration, RouteTable};
+use gg_settings::RateSettings;
 use tokio_util::sync::CancellationToken;
 
-use crate::{BufferBudget, Fleet, Programs, Revocation, connect::Connector};
+use crate::{BufferBudget, Fleet, Programs, Revocation, connect::Connector, credit::Credits};
 
 /// Hedged requests as a share of responses. Above this share slow responses are
 /// a sign of overload, and more requests would add to it.
@@ -36,7 +37,9 @@
     pub(crate) centre: Name,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) connector: Arc<Connector>,
-    pub(crate) ledger: Ledger,
+    pub(crate) ledger: Arc<Ledger>,
+    /// Credit for requests of accounts with a rate.
+    pub(crate) credits: Credits,
     pub(crate) metrics: Metrics,
     /// Budget for hedged requests, as a share of responses.
     pub(crate) hedges: Mutex<RetryBudget>,
@@ -66,9 +69,12 @@
         ledger: Ledger,
         connector: Connector,
         revocation: Revocation,
+        rate: Option<RateSettings>,
         metrics: Metrics,
     ) -> Self {
+        let ledger = Arc::new(ledger);
         State {
+            credits: Credits::new(ledger.clone(), rate),
             metrics,
             hedges: Mutex::new(RetryBudget::new(HEDGE_SHARE, HEDGE_BURST)),
             deployment,
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -1,6 +1,7 @@
 //! A ledger instance: its state, its log and its startup.
 
 use std::{
+    collections::HashMap,
     io,
     net::SocketAddr,
     path::PathBuf,
@@ -17,9 +18,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    AgedFact, Capacity, Layout, LedgerSet, LimitReport, LogClock, LogEntry, LogReader, LogTime,
-    Opener, OverloadReport, PartitionEntry, PermitIssuer, PermitReply, PermitRequest,
-    PollingClients, TunnelOffer, Usage,
+    AgedFact, Capacity, CreditIssuer, CreditReply, CreditRequest, Layout, LedgerSet, LimitReport,
+    LogClock, LogEntry, LogReader, LogTime, Opener, OverloadReport, PartitionEntry, PermitIssuer,
+    PermitReply, PermitRequest, PollingClients, TunnelOffer, Usage,
     commits::{Batch, CommitQueue, write_commits},
     crashes::log_fact,
     partition_store::{CRASHES_PARTITION, PartitionStore},
@@ -28,6 +29,7 @@
     pull::{self, PullError},
     recovery::{Recovered, recover},
     serve,
+    set::FIRST_EPOCH,
 };
 
 quick_error! {
@@ -95,6 +97,9 @@
     mirror: Mutex<Mirror>,
     polling_clients: Mutex<PollingClients>,
     permit_issuer: Mutex<PermitIssuer>,
+    credit_issuer: Mutex<CreditIssuer>,
+    /// Epochs of the partitions that the log held at the start.
+    recovered_epochs: HashMap<u16, u64>,
     commits: CommitQueue,
     clock: LogClock,
     log: LogReader,
@@ -142,10 +147,12 @@
         let shared = Shared {
             disk: stats.disk,
             incarnation: rand::random(),
+            recovered_epochs: store.epochs(),
             store: Mutex::new(store),
             mirror: Mutex::default(),
             polling_clients: Mutex::default(),
             permit_issuer: Mutex::default(),
+            credit_issuer: Mutex::default(),
             commits,
             clock,
             log: log.reader(),
@@ -335,6 +342,41 @@
         lock(&self.shared.permit_issuer).sample(&mut rand::rng(), Instant::now())
     }
 
+    /// Decides on a request for credit of a client account.
+    pub(crate) fn issue_credit(&self, request: &CreditRequest) -> CreditReply {
+        let now = Instant::now();
+        let mut issuer = lock(&self.shared.credit_issuer);
+        if issuer.observe(&request.account, request.limit, now) {
+            let (account, limit) = (&request.account, request.limit);
+            log::info!(
+                "event=credit_limit account={account} rate={:.2} depth={:.1} version={}",
+                limit.rate,
+                limit.depth,
+                limit.version
+            );
+        }
+        let reply = issuer.request(request, self.disk(), now);
+        for (account, used) in issuer.report(now) {
+            log::info!(
+                "event=account_use account={account} granted={} denied={} denied_new={} \
+                 level={:.1} programs={}",
+                used.granted,
+                used.denied,
+                used.denied_new,
+                used.level,
+                used.programs
+            );
+        }
+        drop(issuer);
+        let result = match reply {
+            CreditReply::Granted(_) => "granted",
+            CreditReply::Denied { .. } => "denied",
+            CreditReply::NotIssuer => "not_issuer",
+        };
+        self.shared.metrics.count("credit_issued", &[("result", result)]);
+        reply
+    }
+
     /// Records the limit that a replica announces.
     pub(crate) fn observe_limit(&self, replica: &Name, limit: LimitReport) {
         let is_changed = lock(&self.shared.permit_issuer).observe(replica, limit, Instant::now());
@@ -380,6 +422,14 @@
             if store.layout().covers(&layout) {
                 return;
             }
+            let mut sets = (0..).zip(&layout.partitions);
+            let recovered = &self.shared.recovered_epochs;
+            let is_former = sets.all(|(number, set)| {
+                set.epoch == FIRST_EPOCH || recovered.get(&number) == Some(&set.epoch)
+            });
+            let mut issuer = lock(&self.shared.credit_issuer);
+            issuer.record_layout(layout.disks(), is_former, Instant::now());
+            drop(issuer);
             store.set_layout(layout, self.disk())
         };
         self.enqueue(&entries);
