--- a/crates/gg-platform/src/confirmed.rs
+++ b/crates/gg-platform/src/confirmed.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use gg_protocol::suspension::suspended_since;
+use gg_protocol::suspension::{suspended_since, watch_suspensions};
 
 /// Moment up to which a copy is known to hold every acknowledged change: that at
 /// which the confirming call to the directory was sent. A later moment counts as
@@ -14,6 +14,7 @@
     /// Confirmation by a linearizable call to the directory that was sent at
     /// `sent`.
     pub fn at(sent: Instant) -> Self {
+        watch_suspensions();
         Confirmed(sent)
     }
 
@@ -21,6 +22,7 @@
     /// exchange ages because their clocks differ. The time of the reply isn't
     /// known, so it counts from the request, which adds the time of the exchange.
     pub fn from_peer(age: Duration, request_sent_at: Instant) -> Option<Self> {
+        watch_suspensions();
         request_sent_at.checked_sub(age).map(Confirmed)
     }
 
--- a/crates/gg-protocol/src/suspension.rs
+++ b/crates/gg-protocol/src/suspension.rs
@@ -54,13 +54,23 @@
     }
 }
 
-/// How long this machine may have been suspended after `at`, in all.
+/// How long this machine may have been suspended after `at`, in all. Only what
+/// came after the first call of this function or of [`watch_suspensions`].
 pub fn suspended_since(at: Instant) -> Duration {
+    observed(|suspensions| suspensions.since(at))
+}
+
+/// Compares the clocks now, so that a suspension is found soon after its end.
+pub fn watch_suspensions() {
+    observed(|_| ());
+}
+
+fn observed<T>(read: impl FnOnce(&Suspensions) -> T) -> T {
     static SUSPENSIONS: Mutex<Option<Suspensions>> = Mutex::new(None);
+    let mut suspensions = SUSPENSIONS.lock().unwrap_or_else(PoisonError::into_inner);
     let boot = BootTime::now();
     let now = Instant::now();
-    let mut suspensions = SUSPENSIONS.lock().unwrap_or_else(PoisonError::into_inner);
     let suspensions = suspensions.get_or_insert_with(|| Suspensions::new(now, boot));
     suspensions.observe(now, boot);
-    suspensions.since(at)
+    read(suspensions)
 }
