Programs that began elsewhere keep their credit too

A refusal names the issuer's time also while its denial is remembered, which is at most 0.5 s; before, it named the rest of that time.

--- a/crates/gg-gateway/src/account_credit.rs
+++ b/crates/gg-gateway/src/account_credit.rs
@@ -29,8 +29,9 @@
 pub struct Denial {
     /// Until when the issuer is not asked.
     pub until: Instant,
-    /// Whether it has replied; otherwise it doesn't respond, or is no issuer.
-    pub is_reply: bool,
+    /// When it will have credit, as it replied; `None` if it doesn't respond, or is
+    /// no issuer.
+    pub credit_at: Option<Instant>,
 }
 
 /// Credit of one account.
@@ -53,12 +54,12 @@
 }
 
 impl AccountCredit {
-    /// Takes credit for a further request of `program` that was granted ahead.
+    /// Takes credit for a request, of `program` if of any, that was granted ahead.
     /// Returns when it is void.
     pub fn take(
         &mut self,
         issuer: u64,
-        program: u32,
+        program: Option<u32>,
         clock: BootTime,
         now: Instant,
     ) -> Option<BootTime> {
@@ -70,7 +71,7 @@
         if *left == 0 {
             credit.surplus.pop_front();
         }
-        credit.used.push(program);
+        credit.used.extend(program);
         credit.add_demand(now);
         Some(valid_until)
     }
@@ -97,7 +98,8 @@
 
     /// Records that an issuer has no credit for work of this kind until then.
     pub fn record_denial(&mut self, issuer: u64, work: CreditUse, wait: Duration, now: Instant) {
-        let denial = Denial { until: now + wait.min(DENIAL_MAX), is_reply: true };
+        let credit_at = now.checked_add(wait);
+        let denial = Denial { until: now + wait.min(DENIAL_MAX), credit_at };
         let credit = self.issuers.entry(issuer).or_default();
         credit.new_denied = Some(denial);
         if work == CreditUse::InProgress {
@@ -107,7 +109,7 @@
 
     /// Records that an issuer didn't reply, or is none.
     pub fn record_silence(&mut self, issuer: u64, pause: Duration, now: Instant) {
-        let denial = Some(Denial { until: now + pause, is_reply: false });
+        let denial = Some(Denial { until: now + pause, credit_at: None });
         let credit = self.issuers.entry(issuer).or_default();
         (credit.new_denied, credit.denied) = (denial, denial);
     }
--- a/crates/gg-gateway/src/credit.rs
+++ b/crates/gg-gateway/src/credit.rs
@@ -119,7 +119,8 @@
             let now = Instant::now();
             let known = self.with_account(&claim.account, |account| {
                 if work == CreditUse::InProgress
-                    && let Some(valid_until) = account.take(issuer, program, BootTime::now(), now)
+                    && let Some(valid_until) =
+                        account.take(issuer, claim.program, BootTime::now(), now)
                 {
                     return Ok(Some(valid_until));
                 }
@@ -132,8 +133,8 @@
                 Ok(Some(valid_until)) => return Ok(self.credit(claim, issuer, valid_until)),
                 Ok(None) => {}
                 Err(denial) => {
-                    if denial.is_reply {
-                        shortage.record(denial.until.saturating_duration_since(now));
+                    if let Some(credit_at) = denial.credit_at {
+                        shortage.record(credit_at.saturating_duration_since(now));
                     }
                     continue;
                 }
--- a/crates/gg-gateway/tests/account_credit.rs
+++ b/crates/gg-gateway/tests/account_credit.rs
@@ -36,20 +36,25 @@
     let (start, clock) = (Instant::now(), BootTime::now());
     let mut credit = AccountCredit::default();
     credit.record_grant(ISSUER, 2, clock.after(LEASE));
-    assert_eq!(credit.take(12, 1, clock, start), None, "another issuer's");
-    assert_eq!(credit.take(ISSUER, 1, clock, start), Some(clock.after(LEASE)));
+    assert_eq!(credit.take(12, Some(1), clock, start), None, "another issuer's");
+    assert_eq!(credit.take(ISSUER, Some(1), clock, start), Some(clock.after(LEASE)));
     assert_eq!(credit.prepare(ISSUER, LEASE, start).1, [1], "programs that used it are told");
     assert!(credit.prepare(ISSUER, LEASE, start).1.is_empty(), "once");
-    assert_eq!(credit.take(ISSUER, 1, clock.after(LEASE), start), None, "void");
+    assert_eq!(credit.take(ISSUER, Some(1), clock.after(LEASE), start), None, "void");
 }
 
 #[test]
 fn denials_are_remembered_by_work() {
     let (start, mut credit) = (Instant::now(), AccountCredit::default());
+    let wait = Duration::from_secs(3);
+    credit.record_denial(ISSUER, CreditUse::New, wait, start);
+    let denial = credit.denial(ISSUER, CreditUse::New, at(start, 499)).expect("denied");
+    assert_eq!(denial.credit_at, Some(at(start, 3_000)), "the time that the issuer named");
+    assert_eq!(credit.denial(ISSUER, CreditUse::New, at(start, 500)), None, "it is asked again");
     let wait = Duration::from_millis(200);
     credit.record_denial(ISSUER, CreditUse::New, wait, start);
     let denied = |credit: &AccountCredit, work, ms| {
-        credit.denial(ISSUER, work, at(start, ms)).map(|denial| denial.is_reply)
+        credit.denial(ISSUER, work, at(start, ms)).map(|denial| denial.credit_at.is_some())
     };
     assert_eq!(denied(&credit, CreditUse::New, 199), Some(true));
     assert_eq!(denied(&credit, CreditUse::New, 200), None);
--- a/crates/gg-ledger/src/credit_issuer.rs
+++ b/crates/gg-ledger/src/credit_issuer.rs
@@ -199,7 +199,7 @@
     }
 
     /// Reports what the accounts used that used most, and what the others used
-    /// together under the name `-`; at most once in [`REPORT_INTERVAL`].
+    /// together under the name `-`; at most once every 10 s.
     pub fn report(&mut self, now: Instant) -> Vec<(Name, AccountUse)> {
         let reported_at = *self.reported_at.get_or_insert(now);
         if now.saturating_duration_since(reported_at) < REPORT_INTERVAL {
--- a/crates/gg-ledger/src/program_admission.rs
+++ b/crates/gg-ledger/src/program_admission.rs
@@ -87,11 +87,13 @@
 #[derive(Clone, Copy, Debug)]
 struct ProgramUse {
     requests: u32,
+    /// Whether it began here, so that all its requests were counted.
+    is_whole: bool,
     begun_at: Instant,
     used_at: Instant,
 }
 
-/// Programs of an account that began at one issuer.
+/// Programs of an account that send requests with credit of one issuer.
 #[derive(Clone, Debug, Default)]
 pub struct ProgramAdmission {
     /// By digest of the program, least recently used first.
@@ -141,16 +143,16 @@
             return Err(wait.max(RETRY_MIN));
         }
         let Some(program) = program else { return Ok(()) };
-        if self.programs.len() >= PROGRAMS_MAX {
-            self.programs.shift_remove_index(0);
-        }
-        let begun = ProgramUse { requests: 0, begun_at: now, used_at: now };
-        self.programs.insert(program, begun);
+        self.begin(program, true, now);
         Ok(())
     }
 
-    /// Records a request of a program, if it began here.
+    /// Records a request of a program. One that began elsewhere is owed the rest of
+    /// its requests here too: its issuer was lost, or had no credit.
     pub fn record_use(&mut self, program: u32, now: Instant) {
+        if !self.programs.contains_key(&program) {
+            self.begin(program, false, now);
+        }
         if let Some(mut used) = self.programs.shift_remove(&program) {
             used.requests += 1;
             used.used_at = now;
@@ -158,6 +160,14 @@
         }
     }
 
+    fn begin(&mut self, program: u32, is_whole: bool, now: Instant) {
+        if self.programs.len() >= PROGRAMS_MAX {
+            self.programs.shift_remove_index(0);
+        }
+        let begun = ProgramUse { requests: 0, is_whole, begun_at: now, used_at: now };
+        self.programs.insert(program, begun);
+    }
+
     /// Records that a request of a program was not sent.
     pub fn record_return(&mut self, program: u32) {
         let Some(returned) = self.programs.get_mut(&program) else { return };
@@ -180,7 +190,9 @@
             }
             let ended = *program;
             self.programs.shift_remove_index(0);
-            self.learn(&ended, assumed);
+            if ended.is_whole {
+                self.learn(&ended, assumed);
+            }
         }
     }
 
--- a/crates/gg-ledger/tests/credit.rs
+++ b/crates/gg-ledger/tests/credit.rs
@@ -173,6 +173,25 @@
     assert_eq!(drain(&mut issuer, 11, limit, now, 1), 1);
 }
 
+/// A program keeps its credit beside a flood of new work, also at an issuer where it
+/// didn't begin.
+#[test]
+fn program_from_elsewhere_keeps_credit() {
+    let start = Instant::now();
+    let (limit, mut issuer) = (BOUNDS.limit(1, 20.0, 10.0), issuer(&DISKS, start));
+    let new = CreditRequest { work: CreditUse::New, program: None, ..request(limit, 1) };
+    let mut denied = 0;
+    for ms in 0..10_000 {
+        let now = at(start, 60_000 + ms);
+        if ms % 300 == 0 {
+            let reply = ask(&mut issuer, 11, &request(limit, 1), now);
+            assert_eq!(granted(reply), 1, "after {ms} ms: {reply:?}");
+        }
+        denied += u32::from(granted(ask(&mut issuer, 11, &new, now)) == 0);
+    }
+    assert!(denied > 9_000, "{denied} denied: a flood");
+}
+
 /// A call for each request has to fit into the traffic for control.
 #[test]
 fn messages_are_small() {
