Budgets are checked against what the members know together

A member that was down never learned of the turns that it had missed, and a turn was admitted by the largest sum that any member of its quorum reported, which is less than what all of them know together; the accounts were merged only within three turns of the budget. The same held for a member that gets no reservations because it left a call unanswered for 0.25 s, and for the substitutes of sets of five.

Now a sum is of what a quorum knows together. Each reservation is on a quorum before its turn runs, and quorums overlap. Members report, behind an Opened, the sum and a digest of their settled turns. Where these agree, the sum is exact apart from running turns, and no message is added; otherwise the sums of all members together are the bound. A turn beyond the bound is decided by the merged accounts of a read quorum, and only these refuse. EXACT_CHECK_TURNS is gone. Members that lack settled turns are sent them (behind a Close without a record), after a merge or in the background, four accounts at a time for each gateway.

Also, of the same kind or found by the tests: - A turn that got 404, or whose client left while it was opened, kept its reservation until the account expired: a later 402 too early. Whatever ends the call now releases it. - Of two settlements of a turn the larger one counts. The last one did, so a refused repetition of a turn's name reset to 0 what it had spent. - A stopped instance dropped reservations that it had acknowledged and not yet written; what is queued is written before the log closes. - Learners of a change of the set take no part in sums.

client.rs is split: budget.rs, history.rs (moved as it was).

--- a/crates/gg-ledger/examples/ledger_capacity/main.rs
+++ b/crates/gg-ledger/examples/ledger_capacity/main.rs
@@ -3,6 +3,7 @@
 //! in the log only. Prints a row for each size. Needs `dd` to empty the page
 //! cache of the log.
 
+mod accounts;
 mod histories;
 
 use std::{
@@ -54,8 +55,9 @@
     match args.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         [] => measure_all(),
         ["stream"] => measure_stream().await,
+        ["accounts"] => accounts::measure_accounts().await,
         [megabytes, folder] => measure(megabytes.parse()?, Path::new(folder)).await,
-        _ => Err("usage: ledger_capacity [stream]".into()),
+        _ => Err("usage: ledger_capacity [stream|accounts]".into()),
     }
 }
 
--- a/crates/gg-ledger/src/account.rs
+++ b/crates/gg-ledger/src/account.rs
@@ -5,15 +5,17 @@
 use gg_protocol::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{LogEntry, LogTime};
+use crate::{LogEntry, LogTime, hash::mix, set::fnv1a};
 
 /// Tokens that one turn spent or reserved.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct TurnSpend {
-    pub(crate) turn: Name,
-    pub(crate) tokens: u32,
+pub struct TurnSpend {
+    /// Turn that spent or reserved the tokens.
+    pub turn: Name,
+    /// Number of tokens.
+    pub tokens: u32,
     /// Whether the turn has ended. Otherwise the tokens are reserved.
-    pub(crate) is_settled: bool,
+    pub is_settled: bool,
 }
 
 /// Tokens of one turn: reserved until it ends, then spent.
@@ -31,6 +33,40 @@
     }
 }
 
+/// Settled turns of an account, without their names. Members with equal values
+/// hold the same settled turns.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettledTurns {
+    /// Tokens that the turns spent.
+    pub tokens: u64,
+    /// Digest of the turns that spent any tokens, in any order.
+    pub digest: u64,
+}
+
+impl SettledTurns {
+    /// Adds a turn.
+    fn add(&mut self, turn: &str, tokens: u32) {
+        self.tokens += u64::from(tokens);
+        self.digest = self.digest.wrapping_add(spend_digest(turn, tokens));
+    }
+
+    /// Removes a turn that was added.
+    fn remove(&mut self, turn: &str, tokens: u32) {
+        self.tokens -= u64::from(tokens);
+        self.digest = self.digest.wrapping_sub(spend_digest(turn, tokens));
+    }
+}
+
+/// Digest of what one turn spent. Members of all versions must compute the same
+/// value.
+fn spend_digest(turn: &str, tokens: u32) -> u64 {
+    match tokens {
+        // A refused turn is unknown to members that it didn't reach.
+        0 => 0,
+        tokens => mix(fnv1a(turn.as_bytes()) ^ mix(u64::from(tokens))),
+    }
+}
+
 /// Number of conversation branches per program whose replicas are remembered.
 /// The oldest is evicted first.
 const BRANCHES_MAX: usize = 8;
@@ -50,6 +86,7 @@
 pub(crate) struct Account {
     turns: HashMap<Name, Spend>,
     total: u64,
+    settled: SettledTurns,
     pub(crate) last_used: LogTime,
     /// A placement hint, so it is not logged.
     runs: Vec<LastRun>,
@@ -58,7 +95,13 @@
 impl Account {
     /// Creates an account without turns.
     pub(crate) fn new(at: LogTime) -> Self {
-        Account { turns: HashMap::new(), total: 0, last_used: at, runs: Vec::new() }
+        Account {
+            turns: HashMap::new(),
+            total: 0,
+            settled: SettledTurns::default(),
+            last_used: at,
+            runs: Vec::new(),
+        }
     }
 
     /// Returns whether the turn is new to the account.
@@ -70,9 +113,18 @@
         true
     }
 
+    /// Of two settlements of a turn the larger one counts, on all members.
     /// Returns whether the turn is new to the account.
     pub(crate) fn settle(&mut self, turn: Name, tokens: u32) -> bool {
-        let before = self.turns.insert(turn, Spend::Settled(tokens));
+        let before = self.turns.get(&turn).copied();
+        if let Some(Spend::Settled(before)) = before {
+            if before >= tokens {
+                return false;
+            }
+            self.settled.remove(&turn, before);
+        }
+        self.settled.add(&turn, tokens);
+        self.turns.insert(turn, Spend::Settled(tokens));
         self.total += u64::from(tokens);
         self.total -= before.map_or(0, Spend::tokens);
         before.is_none()
@@ -98,6 +150,15 @@
         self.total - self.turns.get(turn).map_or(0, |spend| spend.tokens())
     }
 
+    /// Settled turns other than `turn`.
+    pub(crate) fn settled(&self, turn: &str) -> SettledTurns {
+        let mut settled = self.settled;
+        if let Some(Spend::Settled(tokens)) = self.turns.get(turn) {
+            settled.remove(turn, *tokens);
+        }
+        settled
+    }
+
     /// What each turn spent or reserved.
     pub(crate) fn spends(&self) -> Vec<TurnSpend> {
         let spends = self.turns.iter().map(|(turn, spend)| {
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -2,22 +2,25 @@
 //! member set.
 
 use std::{
-    collections::HashMap,
     sync::{Arc, Mutex, atomic::AtomicU32},
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
 use gg_protocol::Name;
 use rand::seq::SliceRandom;
-use tokio::time::{self, Instant};
+use tokio::{
+    sync::Semaphore,
+    time::{self, Instant},
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Chain, CrashFacts, Layout, LedgerError, Member, TurnRecord,
-    account::{LastRun, TurnSpend},
-    link::{Link, Scope},
+    AccountReport, BudgetCheck, Chain, CrashFacts, LastRun, Layout, LedgerError, Member,
+    TurnRecord,
+    budget::RECONCILIATIONS_MAX,
+    link::Link,
     links::Links,
     node::lock,
     protocol::{Op, ReplyBody},
@@ -38,10 +41,6 @@
 /// one-way trip and a sync take 10 ms.
 const FALLBACK_DELAY: Duration = Duration::from_millis(40);
 
-/// If the budget has room for fewer turns than this, the accounts of a read
-/// quorum are merged before a turn is admitted or refused.
-const EXACT_CHECK_TURNS: u64 = 3;
-
 /// Timeout of the query whether a program has an account. A round trip takes 3
 /// ms.
 const ACCOUNT_TIMEOUT: Duration = Duration::from_millis(60);
@@ -103,8 +102,8 @@
 /// Result of reserving tokens on a quorum of members.
 #[derive(Debug, Default)]
 struct Reservation {
-    /// Largest sum of tokens that any member reports for other turns.
-    max_spent: u64,
+    /// What the members know of the program's other turns.
+    accounts: BudgetCheck,
     /// The chain, if the nearest member has replied.
     chain: Option<Chain>,
     /// Replica that ran the branch's last turn, as reported by the first member
@@ -114,6 +113,28 @@
     has_gap: bool,
 }
 
+/// Releases what members reserved for a turn that is refused or given up before
+/// it is opened.
+struct Release<'a> {
+    ledger: &'a Ledger,
+    request: Option<&'a OpenRequest>,
+}
+
+impl Release<'_> {
+    /// Keeps the reservation.
+    fn cancel(mut self) {
+        self.request = None;
+    }
+}
+
+impl Drop for Release<'_> {
+    fn drop(&mut self) {
+        if let Some(request) = self.request.filter(|request| request.budget.is_some()) {
+            self.ledger.settle(&request.key, 0, None);
+        }
+    }
+}
+
 /// Ledger client.
 #[derive(Debug)]
 pub struct Ledger {
@@ -123,6 +144,8 @@
     pub(crate) clients: AtomicU32,
     pub(crate) state: Mutex<State>,
     pub(crate) crashes: Mutex<CrashFacts>,
+    /// Limits the number of accounts that are reconciled at a time.
+    pub(crate) reconciling: Arc<Semaphore>,
 }
 
 #[derive(Debug)]
@@ -142,6 +165,7 @@
             clients: AtomicU32::new(0),
             state: Mutex::new(state),
             crashes: Mutex::default(),
+            reconciling: Arc::new(Semaphore::new(RECONCILIATIONS_MAX)),
         }
     }
 
@@ -206,7 +230,20 @@
         if request.budget.is_none() && request.previous.is_none() {
             return Ok(OpenedTurn::default());
         }
-        let deadline = deadline.min(Instant::now() + OPEN_TIMEOUT);
+        let release = Release { ledger: self, request: Some(request) };
+        let opened = self.open_until(request, deadline.min(Instant::now() + OPEN_TIMEOUT)).await;
+        if opened.is_ok() {
+            release.cancel();
+        }
+        opened
+    }
+
+    /// Opens a turn, in several attempts if needed.
+    async fn open_until(
+        &self,
+        request: &OpenRequest,
+        deadline: Instant,
+    ) -> Result<OpenedTurn, LedgerError> {
         let mut last = LedgerError::Unavailable("too few members connected");
         let connect_deadline = Instant::now() + QUORUM_TIMEOUT;
         while Instant::now() < deadline {
@@ -230,8 +267,6 @@
             }
             time::sleep(RETRY_DELAY).await;
         }
-        // Some members may hold a reservation for the refused turn.
-        self.settle(&request.key, 0, None);
         Err(last)
     }
 
@@ -240,29 +275,9 @@
         view: &PartitionView,
         request: &OpenRequest,
     ) -> Result<OpenedTurn, LedgerError> {
-        let Reservation { max_spent, chain, upstream, has_gap } =
+        let Reservation { accounts, chain, upstream, has_gap } =
             self.reserve(view, request).await?;
-        if let (Some(program), Some((budget, tokens))) = (&request.key.program, request.budget) {
-            let tokens = u64::from(tokens);
-            // Each member may have missed turns that another one knows.
-            let needs_exact = max_spent + EXACT_CHECK_TURNS * tokens > budget;
-            let spent = if needs_exact {
-                self.spent(view, program, &request.key.turn).await?
-            } else {
-                max_spent
-            };
-            if spent + tokens > budget {
-                log::info!(
-                    "event=budget_spent request={} program={program} spent={spent} most={tokens} \
-                     budget={budget} exact={needs_exact} partition={} epoch={}",
-                    request.key.turn,
-                    view.scope.partition,
-                    view.scope.epoch
-                );
-                self.settle(&request.key, 0, None);
-                return Err(LedgerError::BudgetSpent(spent));
-            }
-        }
+        self.check_budget(view, request, &accounts).await?;
         match &request.previous {
             None => Ok(OpenedTurn { upstream, ..OpenedTurn::default() }),
             Some(previous) => {
@@ -306,9 +321,15 @@
                 break;
             }
             match time::timeout(FALLBACK_DELAY, calls.next()).await {
-                Ok(Some((disk, Ok(ReplyBody::Opened { others, chain, upstream, has_gap })))) => {
+                Ok(Some((
+                    disk,
+                    Ok(ReplyBody::Opened { others, chain, upstream, has_gap, settled }),
+                ))) => {
                     answered.push(disk);
-                    reservation.max_spent = others.max(reservation.max_spent);
+                    // New members have yet to copy what the current ones hold.
+                    if view.set.contains_disk(disk) {
+                        reservation.accounts.add(AccountReport { others, settled });
+                    }
                     reservation.chain = reservation.chain.or(chain);
                     reservation.upstream = reservation.upstream.or(upstream);
                     reservation.has_gap |= has_gap;
@@ -365,165 +386,14 @@
         false
     }
 
-    /// Exact sum of the tokens that turns of a program other than `turn` spent
-    /// or reserved. A settlement known to any member overrides a reservation.
-    async fn spent(
-        &self,
-        view: &PartitionView,
-        program: &Name,
-        turn: &Name,
-    ) -> Result<u64, LedgerError> {
-        let mut calls: FuturesUnordered<_> = view
-            .links
-            .iter()
-            .filter(|link| link.is_usable())
-            .map(async |link| {
-                (link.member.disk, link.call(view.scope, Op::Account(program.clone())).await)
-            })
-            .collect();
-        let mut answered = Vec::new();
-        let mut turns: HashMap<Name, TurnSpend> = HashMap::new();
-        while !view.set.has_read_quorum(&answered) {
-            match calls.next().await {
-                Some((disk, Ok(ReplyBody::Account(spent)))) => {
-                    answered.push(disk);
-                    for spend in spent {
-                        let known =
-                            turns.entry(spend.turn.clone()).or_insert_with(|| spend.clone());
-                        if spend.is_settled && !known.is_settled {
-                            *known = spend;
-                        }
-                    }
-                }
-                Some((disk, Ok(other))) => return Err(self.handle_refusal(disk, other)),
-                Some((_, Err(_))) => {}
-                None => return Err(LedgerError::Unavailable("too few members know the account")),
-            }
-        }
-        turns.remove(turn);
-        Ok(turns.values().map(|spend| u64::from(spend.tokens)).sum())
-    }
-
-    /// Completes a chain of which a member knows only a part, or nothing.
-    async fn history(
-        &self,
-        view: &PartitionView,
-        previous: &Name,
-        found: Option<Chain>,
-    ) -> Result<OpenedTurn, LedgerError> {
-        let mut upstream = found.as_ref().and_then(|chain| chain.upstream.clone());
-        let mut missing = Some(previous.clone());
-        let mut parts = Vec::new();
-        let mut needs_history = false;
-        let mut is_foreign = false;
-        if let Some(chain) = found {
-            missing = chain.missing;
-            parts.push(chain.text);
-        }
-        while let Some(turn) = missing.take() {
-            // A turn that a stored one continues was stored.
-            let is_certain = turn != *previous;
-            needs_history |= is_certain;
-            let fetched = match is_foreign {
-                true => Err(LedgerError::NoSuchTurn),
-                false => self.fetch(view, &turn, is_certain).await,
-            };
-            let chain = match fetched {
-                Err(LedgerError::NoSuchTurn) => {
-                    is_foreign = true;
-                    self.find(&turn, is_certain).await?
-                }
-                fetched => fetched?,
-            };
-            upstream = upstream.or(chain.upstream);
-            parts.push(chain.text);
-            missing = chain.missing;
-        }
-        let history = match parts.len() {
-            1 => parts.swap_remove(0),
-            _ => {
-                let mut joined = BytesMut::new();
-                parts.iter().rev().for_each(|part| joined.extend_from_slice(part));
-                joined.freeze()
-            }
-        };
-        Ok(OpenedTurn { history, upstream, needs_history: needs_history || is_foreign })
-    }
-
-    /// Reads a chain from any member that knows its last turn. If it is certain
-    /// that the turn was stored, no denial is conclusive: those members may lack
-    /// it.
-    async fn fetch(
-        &self,
-        view: &PartitionView,
-        turn: &Name,
-        is_certain: bool,
-    ) -> Result<Chain, LedgerError> {
-        let calls = view.links.iter().filter(|link| link.is_up()).map(async |link| {
-            let reply = link.call(view.scope, Op::Fetch(turn.clone())).await;
-            (link.member.disk, reply)
-        });
-        let is_conclusive = |not_found: &[u64]| !is_certain && view.set.has_read_quorum(not_found);
-        self.first_chain(calls, turn, is_conclusive).await
-    }
-
-    /// Reads a chain from any partition that knows its last turn. No denial is
-    /// conclusive if it is certain that the turn was stored.
-    async fn find(&self, turn: &Name, is_certain: bool) -> Result<Chain, LedgerError> {
-        let (layout, links) = {
-            let state = lock(&self.state);
-            let links: Vec<_> = state.links.all().filter(|link| link.is_up()).cloned().collect();
-            (state.layout.clone(), links)
-        };
-        let epochs: Vec<u64> = layout.partitions.iter().map(|set| set.epoch).collect();
-        let calls = links.iter().map(async |link| {
-            let op = Op::Find { turn: turn.clone(), epochs: epochs.clone() };
-            (link.member.disk, link.call(Scope { partition: 0, epoch: 0 }, op).await)
-        });
-        let is_conclusive = |not_found: &[u64]| {
-            !is_certain && layout.partitions.iter().all(|set| set.has_read_quorum(not_found))
-        };
-        self.first_chain(calls, turn, is_conclusive).await
-    }
-
-    /// Returns the first reply that contains the turn, or an error once enough
-    /// members report that they don't have it.
-    async fn first_chain<F>(
-        &self,
-        calls: impl Iterator<Item = F>,
-        turn: &Name,
-        is_conclusive: impl Fn(&[u64]) -> bool,
-    ) -> Result<Chain, LedgerError>
-    where
-        F: Future<Output = (u64, Result<ReplyBody, LedgerError>)>,
-    {
-        let mut calls: FuturesUnordered<F> = calls.collect();
-        let mut not_found = Vec::new();
-        while let Some((disk, reply)) = calls.next().await {
-            match reply {
-                Ok(ReplyBody::Fetched(chain)) if chain.missing.as_ref() != Some(turn) => {
-                    return Ok(chain);
-                }
-                Ok(ReplyBody::Fetched(_)) => not_found.push(disk),
-                Ok(other) => return Err(self.handle_refusal(disk, other)),
-                Err(_) => {}
-            }
-            if is_conclusive(&not_found) {
-                let disks: Vec<String> = not_found.iter().map(u64::to_string).collect();
-                log::info!("event=turn_denied turn={turn} disks={}", disks.join(","));
-                return Err(LedgerError::NoSuchTurn);
-            }
-        }
-        Err(LedgerError::Unavailable("too few members know the chain"))
-    }
-
     /// Reports what a turn without a stored record has spent, and which replica
     /// ran it.
     pub fn settle(&self, key: &TurnKey, tokens: u32, run: Option<LastRun>) {
         let Some(program) = key.program.clone() else { return };
         let view = self.view(self.partition(key));
         let settle = Some((program, tokens));
-        let op = Op::Close { turn: key.turn.clone(), settle, record: None, run };
+        let op =
+            Op::Close { turn: key.turn.clone(), settle, record: None, run, missed: Vec::new() };
         view.links.iter().for_each(|link| link.notify(view.scope, op.clone()));
     }
 
@@ -537,7 +407,8 @@
     ) -> Result<(), LedgerError> {
         let settle = key.program.clone().zip(tokens);
         let record = Some(record);
-        let op = Op::Close { turn: key.turn.clone(), settle, record, run: None };
+        let op =
+            Op::Close { turn: key.turn.clone(), settle, record, run: None, missed: Vec::new() };
         let deadline = Instant::now() + CLOSE_TIMEOUT;
         while Instant::now() < deadline {
             let view = self.view(self.partition(key));
@@ -578,7 +449,7 @@
 
     /// Handles a refusal, which ends the attempt: the member set has changed,
     /// and the links to members that left it are closed.
-    fn handle_refusal(&self, disk: u64, body: ReplyBody) -> LedgerError {
+    pub(crate) fn handle_refusal(&self, disk: u64, body: ReplyBody) -> LedgerError {
         match body {
             ReplyBody::Stale(layout) => self.set_layout(layout),
             other => log::warn!("event=ledger_refused disk={disk} answer={other:?}"),
--- a/crates/gg-ledger/src/commits.rs
+++ b/crates/gg-ledger/src/commits.rs
@@ -141,6 +141,10 @@
     }
 }
 
+/// Time for the last write of an instance that is stopped. A full disk takes
+/// nothing for as long as it is full.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Entries to write with one sync, and who waits for them.
 #[derive(Default)]
 struct Round {
@@ -161,18 +165,28 @@
     }
 }
 
-/// Writes queued commits until `stop` is cancelled. Cancels it itself if the log
-/// can't be written, because nothing can be acknowledged any more.
+/// Writes queued commits until `stop` is cancelled, and then those that are left.
+/// Cancels it itself if the log can't be written, because nothing can be
+/// acknowledged any more.
 pub(crate) async fn write_commits(
     node: Node,
     mut log: LogFile,
     mut queue: mpsc::UnboundedReceiver<Commit>,
     stop: CancellationToken,
 ) {
-    while !stop.is_cancelled() {
-        let is_removing = log.is_removal_due(node.log_bytes_max());
+    loop {
+        // Reservations are acknowledged before they are written.
+        let is_last = stop.is_cancelled();
+        let is_removing = !is_last && log.is_removal_due(node.log_bytes_max());
         let round = next_round(&mut queue, is_removing, &stop).await;
-        match write_round(&node, log, round, is_removing).await {
+        let writing = write_round(&node, log, round, is_removing);
+        if is_last {
+            if !matches!(time::timeout(LAST_WRITE_TIMEOUT, writing).await, Ok(Ok(_))) {
+                log::warn!("event=log_incomplete waiting_bytes={}", node.commits().backlog());
+            }
+            return;
+        }
+        match writing.await {
             Ok(open) => log = open,
             Err(err) => {
                 log::error!("event=log_failed error={err}");
--- a/crates/gg-ledger/src/index.rs
+++ b/crates/gg-ledger/src/index.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    LastRun, Location, LogEntry, LogTime, TurnRecord,
+    AccountReport, LastRun, Location, LogEntry, LogTime, TurnRecord,
     account::{Account, Spend, TurnSpend},
     encoding::HEADER_BYTES,
 };
@@ -265,8 +265,24 @@
         self.accounts.get(program).map_or(0, |account| account.others(turn))
     }
 
+    /// What turns of `program` other than `turn` spent or reserved, as reported
+    /// to clients.
+    pub fn report(&self, program: &str, turn: &str) -> AccountReport {
+        let account = self.accounts.get(program);
+        AccountReport {
+            others: account.map_or(0, |account| account.others(turn)),
+            settled: Some(account.map_or_else(Default::default, |account| account.settled(turn))),
+        }
+    }
+
+    /// Whether a turn of a program is not settled with this many tokens.
+    pub(crate) fn lacks(&self, program: &str, turn: &str, tokens: u32) -> bool {
+        let account = self.accounts.get(program);
+        !account.is_some_and(|account| account.holds(turn, Spend::Settled(tokens)))
+    }
+
     /// What each turn of a program spent or reserved.
-    pub(crate) fn account(&self, program: &str) -> Vec<TurnSpend> {
+    pub fn account(&self, program: &str) -> Vec<TurnSpend> {
         self.accounts.get(program).map(Account::spends).unwrap_or_default()
     }
 
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -7,6 +7,8 @@
 //! directory and change in two steps ([`LedgerSet`]).
 
 mod account;
+mod budget;
+mod budget_check;
 mod capacity;
 mod chains;
 mod client;
@@ -16,6 +18,8 @@
 mod entry;
 mod entry_filter;
 mod error;
+mod hash;
+mod history;
 mod index;
 mod layout_controller;
 mod link;
@@ -38,7 +42,8 @@
 mod sources;
 mod view;
 
-pub use account::LastRun;
+pub use account::{LastRun, SettledTurns, TurnSpend};
+pub use budget_check::{AccountReport, BudgetCheck, MergedAccount};
 pub use capacity::{Capacity, Opener, Usage};
 pub use client::{Ledger, OpenRequest, OpenedTurn, TurnKey};
 pub use crashes::{AgedFact, CrashFact, CrashFacts, RequestFingerprint};
--- a/crates/gg-ledger/src/permits.rs
+++ b/crates/gg-ledger/src/permits.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Layout, Ledger, LimitReport, PermitReply, PermitRequest,
+    hash::mix,
     link::{Link, Scope},
     node::lock,
     protocol::{Op, ReplyBody},
@@ -50,13 +51,6 @@
     Some(ISSUER_SHARES[rank])
 }
 
-/// Spreads the bits of a key evenly (the finalizer of SplitMix64).
-fn mix(key: u64) -> u64 {
-    let key = (key ^ (key >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let key = (key ^ (key >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    key ^ (key >> 31)
-}
-
 impl Ledger {
     /// Requests a permit to send one request to a replica that announces a rate
     /// limit. Returns the share of the limit that the replying issuer may grant
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     AgedFact, Layout, LimitReport, LogEntry, OverloadReport, PermitReply, PermitRequest,
-    TunnelOffer, TurnRecord,
+    SettledTurns, TunnelOffer, TurnRecord,
     account::{LastRun, TurnSpend},
     index::Chain,
 };
@@ -90,6 +90,10 @@
         record: Option<TurnRecord>,
         /// Replica that ran the turn, if no turn record carries it.
         run: Option<LastRun>,
+        /// Further settled turns of the program with their tokens, which the
+        /// instance lacks. A trailing field.
+        #[serde(skip)]
+        missed: Vec<(Name, u32)>,
     },
     /// Returns what each turn of a program spent or reserved.
     Account(Name),
@@ -161,6 +165,9 @@
         /// trailing field.
         #[serde(skip)]
         has_gap: bool,
+        /// Settled turns among the others. A trailing field.
+        #[serde(skip)]
+        settled: Option<SettledTurns>,
     },
     /// Reply to [`Op::Account`].
     Account(Vec<TurnSpend>),
@@ -241,13 +248,17 @@
 pub(crate) fn encode_request(request: &Request) -> Bytes {
     match &request.op {
         Op::Open { continues: Some(turn), .. } => encode(request, Some(turn)),
+        Op::Close { missed, .. } if !missed.is_empty() => encode(request, Some(missed)),
         _ => encode(request, None::<&Name>),
     }
 }
 
-/// Encodes a reply with its trailing field into a frame's payload.
+/// Encodes a reply with its trailing fields into a frame's payload.
 pub(crate) fn encode_reply(reply: &Reply) -> Bytes {
     match &reply.body {
+        ReplyBody::Opened { has_gap, settled: Some(settled), .. } => {
+            encode(reply, Some(&(has_gap, settled)))
+        }
         ReplyBody::Opened { has_gap: true, .. } => encode(reply, Some(&true)),
         ReplyBody::PullChunk { ages_ms, .. } => encode(reply, Some(ages_ms)),
         _ => encode(reply, None::<&()>),
@@ -266,8 +277,10 @@
 /// Decodes a request from a frame's payload.
 pub(crate) fn decode_request(frame: &BytesMut) -> Result<Request, FrameError> {
     let (mut request, rest): (Request, _) = postcard::take_from_bytes(frame)?;
-    if let Op::Open { continues, .. } = &mut request.op {
-        *continues = trailing(rest)?;
+    match &mut request.op {
+        Op::Open { continues, .. } => *continues = trailing(rest)?.0,
+        Op::Close { missed, .. } => *missed = trailing(rest)?.0.unwrap_or_default(),
+        _ => {}
     }
     Ok(request)
 }
@@ -276,18 +289,26 @@
 pub(crate) fn decode_reply(frame: &BytesMut) -> Result<Reply, FrameError> {
     let (mut reply, rest): (Reply, _) = postcard::take_from_bytes(frame)?;
     match &mut reply.body {
-        ReplyBody::Opened { has_gap, .. } => *has_gap = trailing(rest)?.unwrap_or_default(),
-        ReplyBody::PullChunk { ages_ms, .. } => *ages_ms = trailing(rest)?.unwrap_or_default(),
+        ReplyBody::Opened { has_gap, settled, .. } => {
+            let (gap, rest) = trailing(rest)?;
+            *has_gap = gap.unwrap_or_default();
+            *settled = trailing(rest)?.0;
+        }
+        ReplyBody::PullChunk { ages_ms, .. } => *ages_ms = trailing(rest)?.0.unwrap_or_default(),
         _ => {}
     }
     Ok(reply)
 }
 
-/// Decodes a trailing field; `None` if the message has none.
-fn trailing<T: DeserializeOwned>(rest: &[u8]) -> Result<Option<T>, FrameError> {
+/// Decodes a trailing field, `None` if the message has none, and returns what
+/// follows it.
+fn trailing<T: DeserializeOwned>(rest: &[u8]) -> Result<(Option<T>, &[u8]), FrameError> {
     match rest {
-        [] => Ok(None),
-        _ => Ok(Some(postcard::take_from_bytes(rest)?.0)),
+        [] => Ok((None, rest)),
+        _ => {
+            let (field, rest) = postcard::take_from_bytes(rest)?;
+            Ok((Some(field), rest))
+        }
     }
 }
 
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    Chain, LogEntry, Node, Opener, PartitionEntry, TurnRecord,
+    AccountReport, Chain, LogEntry, Node, Opener, PartitionEntry, TurnRecord,
     chains::{Lookup, loaded},
     protocol::{
         FrameWriter, Op, Reply, ReplyBody, Request, codec, decode_request, encode_reply,
@@ -102,24 +102,27 @@
                 .map(|turn| node.store().index(partition).chain(&turn, node.now()).missing);
             let has_gap = chain_end.flatten().is_some();
             let upstream = last_run(node, partition, &reserve, branch);
-            let (others, entries) = reserve_tokens(node, partition, turn, reserve, keep_ms);
+            let (report, entries) = reserve_tokens(node, partition, turn, reserve, keep_ms);
+            let AccountReport { others, settled } = report;
+            let body = move |chain| ReplyBody::Opened { others, chain, upstream, has_gap, settled };
             if keep_ms.is_some() {
-                let body = ReplyBody::Opened { others, chain: None, upstream, has_gap };
-                reply_after_write(node, id, entries, body, replies);
+                reply_after_write(node, id, entries, body(None), replies);
                 return;
             }
             node.enqueue(&entries);
             let lookup = chain.map(|turn| Lookup::Partition(partition, turn));
-            let body = move |chain| ReplyBody::Opened { others, chain, upstream, has_gap };
             reply_chain(node, id, lookup, replies, body).await;
         }
         Op::Close { record: Some(_), .. } if node.is_stuck() => {
             // The other members store the turn; this one will have a gap.
             node.metrics().count("closes_refused", &[]);
         }
-        Op::Close { turn, settle, record, run } => {
+        Op::Close { turn, settle, record, run, missed } => {
             let program = settle.as_ref().map(|(program, _)| program.clone());
             close(node, id, partition, turn, settle, record, replies);
+            if let Some(program) = &program {
+                settle_missed(node, partition, program, missed);
+            }
             if let Some((program, run)) = program.zip(run) {
                 node.store().index(partition).record_run(&program, run);
             }
@@ -248,26 +251,44 @@
     node.admits(if is_in_progress { Opener::InProgress } else { Opener::NewProgram })
 }
 
-/// Reserves tokens of a program. Returns what its other turns spent or reserved,
-/// and the entries to write.
+/// Reserves tokens of a program. Returns a report on its other turns, and the
+/// entries to write.
 fn reserve_tokens(
     node: &Node,
     partition: u16,
     turn: Name,
     reserve: Option<(Name, u32)>,
     keep_ms: Option<u32>,
-) -> (u64, Vec<PartitionEntry>) {
-    let Some((program, tokens)) = reserve else { return (0, Vec::new()) };
+) -> (AccountReport, Vec<PartitionEntry>) {
+    let Some((program, tokens)) = reserve else { return Default::default() };
     let mut store = node.store();
     let index = store.index(partition);
-    let others = index.others(&program, &turn);
+    let report = index.report(&program, &turn);
     let retention = keep_ms.filter(|keep_ms| !index.retains_for(*keep_ms)).map(LogEntry::Retention);
     drop(store);
     let reserve = LogEntry::Reserve { program, turn, tokens };
     let entries = retention.into_iter().chain([reserve]);
     let entries: Vec<_> = entries.map(|entry| (partition, entry)).collect();
     node.apply(&entries);
-    (others, entries)
+    (report, entries)
+}
+
+/// Settles turns of a program that ended while this instance was down or slow.
+fn settle_missed(node: &Node, partition: u16, program: &Name, mut missed: Vec<(Name, u32)>) {
+    // Sent again with a later turn.
+    if node.is_stuck() {
+        return;
+    }
+    {
+        let mut store = node.store();
+        let index = store.index(partition);
+        missed.retain(|(turn, tokens)| index.lacks(program, turn, *tokens));
+    }
+    let settle =
+        |(turn, tokens)| (partition, LogEntry::Settle { program: program.clone(), turn, tokens });
+    let entries: Vec<_> = missed.into_iter().map(settle).collect();
+    node.apply(&entries);
+    node.enqueue(&entries);
 }
 
 fn fetched(chain: Option<Chain>) -> ReplyBody {
--- a/crates/gg-ledger/src/view.rs
+++ b/crates/gg-ledger/src/view.rs
@@ -64,6 +64,15 @@
         self.has_quorum(&others.filter(|disk| !disks.contains(disk)).collect::<Vec<_>>())
     }
 
+    /// Links to the current members that respond in time, or to all that are
+    /// connected if these are no read quorum.
+    pub(crate) fn readable(&self) -> impl Iterator<Item = &Arc<Link>> {
+        let current = || self.links.iter().filter(|link| self.set.contains_disk(link.member.disk));
+        let usable = current().filter(|link| link.is_usable()).map(|link| link.member.disk);
+        let is_quorum = self.set.has_read_quorum(&usable.collect::<Vec<_>>());
+        current().filter(move |link| if is_quorum { link.is_usable() } else { link.is_up() })
+    }
+
     /// The preferred current member to read chains from, if one is connected.
     /// Members that respond in time come first, and of these the ones in data
     /// centre `centre`.
--- a/crates/gg-ledger/tests/support/mod.rs
+++ b/crates/gg-ledger/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Ledger instances in the test process, and a client of them.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod cluster;
+pub mod old_instance;
 pub mod recorded;
 
 use std::{net::SocketAddr, path::Path, time::Duration};
