Texts longer than a message are refused without ending the connection

A chain or a record of a turn of more than 16 MiB didn't fit into a frame. Each try to send one ended the connection between a gateway and a ledger instance, and with it all calls in flight on it; the turn got 503 and was tried again.

The size is now checked before anything runs or is written: a turn whose prompt, with all that it continues, is longer than TEXT_MAX_BYTES (16 MiB less 256 KiB for names and fields) gets 413, which is final and says why; so does a chain that a member reports as too long (the reply Full to a Fetch or Find). A record that only grows too long by its response is refused at its end, at once: its stream is cut, as the status is sent by then. Whatever else would exceed a frame is logged and not sent. A copy of a partition sends a long turn by itself, as the turns before it could make the message too long.

The 413 of the gateway is not played, only compiled.

--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
-use gg_ledger::{LedgerError, OpenRequest, OpenedTurn};
+use gg_ledger::{LedgerError, OpenRequest, OpenedTurn, TEXT_MAX_BYTES};
 use gg_protocol::{Code, Failure};
 use gg_route::Deployment;
 use http::{Response, StatusCode};
@@ -28,6 +28,9 @@
 /// instances drop expired turns every few seconds.
 const FULL_RETRY_MS: u64 = 1_000;
 
+/// Why a turn is refused whose text could not be stored.
+const TOO_LONG: &str = "the prompt with the turns that it continues is longer than can be stored";
+
 /// Runs a turn and streams its events.
 pub(crate) async fn run<D: Deployment>(
     state: &Arc<State<D>>,
@@ -42,6 +45,9 @@
     // Settles the reserved tokens however the turn ends.
     let settlement = Settlement::new(state.clone(), job.clone());
     let body = full_prompt(&opened, &job.body);
+    if job.route.stores_turns && body.len() > TEXT_MAX_BYTES {
+        return Err(Failure::unexecuted(Code::TooLarge, TOO_LONG));
+    }
     let mut attempts = job.attempts();
     let mut tried = Vec::new();
     loop {
@@ -110,6 +116,7 @@
             let message = format!("previous turn {previous} does not exist");
             Err(Failure::unexecuted(Code::NotFound, message))
         }
+        Err(LedgerError::TooLong) => Err(Failure::unexecuted(Code::TooLarge, TOO_LONG)),
         Err(err @ LedgerError::BudgetSpent(_)) => {
             Err(Failure::unexecuted(Code::BudgetExhausted, err.to_string()))
         }
--- a/crates/gg-ledger/src/client.rs
+++ b/crates/gg-ledger/src/client.rs
@@ -23,7 +23,7 @@
     link::Link,
     links::Links,
     node::lock,
-    protocol::{Op, ReplyBody},
+    protocol::{Op, ReplyBody, TEXT_MAX_BYTES},
     view::PartitionView,
 };
 
@@ -405,6 +405,9 @@
         tokens: Option<u32>,
         record: TurnRecord,
     ) -> Result<(), LedgerError> {
+        if record.text.len() > TEXT_MAX_BYTES {
+            return Err(LedgerError::TooLong);
+        }
         let settle = key.program.clone().zip(tokens);
         let record = Some(record);
         let op =
--- a/crates/gg-ledger/src/error.rs
+++ b/crates/gg-ledger/src/error.rs
@@ -19,6 +19,10 @@
         Disconnected {
             display("ledger instance not connected")
         }
+        /// The message, a chain or a record of a turn, is too long to be sent.
+        TooLong {
+            display("the turn or the chain that it continues is too long to be stored")
+        }
         /// A read quorum confirms that the turn does not exist.
         NoSuchTurn {
             display("no such turn")
--- a/crates/gg-ledger/src/history.rs
+++ b/crates/gg-ledger/src/history.rs
@@ -1,6 +1,6 @@
 //! Reads the chain that a turn continues, from as many members as it takes.
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream::FuturesUnordered};
 use gg_protocol::Name;
 
@@ -8,7 +8,7 @@
     Chain, Ledger, LedgerError, OpenedTurn,
     link::Scope,
     node::lock,
-    protocol::{Op, ReplyBody},
+    protocol::{Op, ReplyBody, TEXT_MAX_BYTES},
     view::PartitionView,
 };
 
@@ -48,6 +48,9 @@
             parts.push(chain.text);
             missing = chain.missing;
         }
+        if parts.iter().map(Bytes::len).sum::<usize>() > TEXT_MAX_BYTES {
+            return Err(LedgerError::TooLong);
+        }
         let history = match parts.len() {
             1 => parts.swap_remove(0),
             _ => {
@@ -114,6 +117,7 @@
                     return Ok(chain);
                 }
                 Ok(ReplyBody::Fetched(_)) => not_found.push(disk),
+                Ok(ReplyBody::Full) => return Err(LedgerError::TooLong),
                 Ok(other) => return Err(self.handle_refusal(disk, other)),
                 Err(_) => {}
             }
--- a/crates/gg-ledger/src/index.rs
+++ b/crates/gg-ledger/src/index.rs
@@ -39,6 +39,13 @@
     pub upstream: Option<Name>,
 }
 
+impl StoredChain {
+    /// Approximate size of the texts.
+    pub(crate) fn bytes(&self) -> usize {
+        self.texts.iter().map(StoredText::bytes).sum()
+    }
+}
+
 /// Text of a turn, or where it is stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoredText {
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -61,6 +61,7 @@
 pub use plan::{LayoutPlan, ReplacementTimeouts};
 pub use poll::{PollReply, PollTunnels};
 pub use polling_clients::{OverloadReport, PollingClients, TunnelOffer};
+pub use protocol::TEXT_MAX_BYTES;
 pub use segment::{Location, StoredContent, StoredEntry};
 pub use set::{LAYOUT_NAME, Layout, LedgerSet, Member, Registration};
 pub use sources::watchers;
--- a/crates/gg-ledger/src/link.rs
+++ b/crates/gg-ledger/src/link.rs
@@ -24,8 +24,8 @@
     LedgerError, Member,
     node::lock,
     protocol::{
-        FrameReader, FrameWriter, Op, ReplyBody, Request, codec, decode_reply, encode_request,
-        write_frames,
+        FRAME_MAX_BYTES, FrameReader, FrameWriter, Op, ReplyBody, Request, codec, decode_reply,
+        encode_request, write_frames,
     },
 };
 
@@ -195,6 +195,9 @@
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let Scope { partition, epoch } = scope;
         let request = encode_request(&Request { id, partition, epoch, disk: self.member.disk, op });
+        if request.len() > FRAME_MAX_BYTES {
+            return Err(LedgerError::TooLong);
+        }
         if let Some(reply) = reply {
             let pending = PendingCall { since: Instant::now(), reply };
             lock(&self.pending).insert(id, pending);
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -27,7 +27,11 @@
 };
 
 /// Largest frame, in bytes. A chain of 280,000 tokens fits.
-const FRAME_MAX_BYTES: usize = 16 << 20;
+pub(crate) const FRAME_MAX_BYTES: usize = 16 << 20;
+
+/// Largest text of a turn or of a chain, in bytes. A frame has room for it and
+/// for the names and fields that go with it.
+pub const TEXT_MAX_BYTES: usize = FRAME_MAX_BYTES - (256 << 10);
 
 /// Crash facts that one process sends to another one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -218,6 +222,7 @@
     /// The request was addressed to another disk.
     WrongDisk,
     /// Reply to [`Op::Open`]: memory is exhausted, and nothing was reserved.
+    /// Reply to [`Op::Fetch`] and [`Op::Find`]: the chain is too long to be sent.
     Full,
 }
 
--- a/crates/gg-ledger/src/pull.rs
+++ b/crates/gg-ledger/src/pull.rs
@@ -106,8 +106,11 @@
     /// The next part of the copy; `None` at its end.
     pub(crate) async fn next_chunk(&mut self, node: &Node) -> io::Result<Option<ReplyBody>> {
         let turns = self.next_turns(node);
-        // Turns fill a chunk; the last one has room for other entries.
-        let room = if self.turns.len() == 0 { CHUNK_BYTES / ENTRY_BYTES } else { 0 };
+        // Turns fill a chunk; the last one has room for other entries, unless it is
+        // a long one.
+        let bytes: usize = turns.iter().map(|(_, text, _)| text.bytes()).sum();
+        let has_room = self.turns.len() == 0 && bytes <= CHUNK_BYTES;
+        let room = if has_room { CHUNK_BYTES / ENTRY_BYTES } else { 0 };
         let others: Vec<_> = self.others.by_ref().take(room).collect();
         if turns.is_empty() && others.is_empty() {
             return Ok(None);
@@ -122,20 +125,22 @@
         Ok(Some(chunk(node, turns.chain(others).collect())))
     }
 
-    /// Turns of about [`CHUNK_BYTES`]. Those that have expired meanwhile are
-    /// left out.
+    /// Turns of at most [`CHUNK_BYTES`], or one that is larger. Those that have
+    /// expired meanwhile are left out.
     fn next_turns(&mut self, node: &Node) -> Vec<(TurnRecord, StoredText, LogTime)> {
         let mut store = node.store();
         let index = store.index(self.partition);
         let mut bytes = 0;
         let mut turns = Vec::new();
-        while bytes < CHUNK_BYTES
-            && let Some(name) = self.turns.next()
-        {
-            if let Some(turn) = index.turn(&name) {
+        while let Some(name) = self.turns.as_slice().first() {
+            if let Some(turn) = index.turn(name) {
                 bytes += ENTRY_BYTES + turn.1.bytes();
+                if bytes > CHUNK_BYTES && !turns.is_empty() {
+                    break;
+                }
                 turns.push(turn);
             }
+            self.turns.next();
         }
         turns
     }
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -20,8 +20,8 @@
     AccountReport, Chain, LogEntry, Node, Opener, PartitionEntry, TurnRecord,
     chains::{Lookup, loaded},
     protocol::{
-        FrameWriter, Op, Reply, ReplyBody, Request, codec, decode_request, encode_reply,
-        write_frames,
+        FRAME_MAX_BYTES, FrameWriter, Op, Reply, ReplyBody, Request, TEXT_MAX_BYTES, codec,
+        decode_request, encode_reply, write_frames,
     },
     pull::PullSource,
 };
@@ -291,11 +291,13 @@
     node.enqueue(&entries);
 }
 
+/// Reply to a request for a chain; none is sent of a chain that is too long.
 fn fetched(chain: Option<Chain>) -> ReplyBody {
-    ReplyBody::Fetched(chain.unwrap_or_default())
+    chain.map_or(ReplyBody::Full, ReplyBody::Fetched)
 }
 
-/// Sends the reply that holds a chain. Other replies aren't delayed while its
+/// Sends the reply that holds a chain, or that there is none or it is too long.
+/// Other replies aren't delayed while its
 /// texts are read from the log. There is no reply if that fails, so that the
 /// client asks the other members.
 async fn reply_chain(
@@ -309,7 +311,13 @@
         send_reply(replies, id, body(None)).await;
         return;
     };
-    if let Some(chain) = loaded(&node.look_up(&lookup)) {
+    let stored = node.look_up(&lookup);
+    if stored.bytes() > TEXT_MAX_BYTES {
+        log::warn!("event=chain_too_long lookup={lookup:?} bytes={}", stored.bytes());
+        send_reply(replies, id, body(None)).await;
+        return;
+    }
+    if let Some(chain) = loaded(&stored) {
         send_reply(replies, id, body(Some(chain))).await;
         return;
     }
@@ -397,7 +405,13 @@
 }
 
 async fn send_reply(replies: &mpsc::Sender<Bytes>, id: u64, body: ReplyBody) {
+    let reply = encode_reply(&Reply { id, body });
+    if reply.len() > FRAME_MAX_BYTES {
+        // Writing it would end the connection and all other calls on it.
+        log::error!("event=reply_too_long id={id} bytes={}", reply.len());
+        return;
+    }
     // A failed send means that the client has disconnected; it retries
     // elsewhere.
-    let _ = replies.send(encode_reply(&Reply { id, body })).await;
+    let _ = replies.send(reply).await;
 }
