--- a/crates/gg-ledger/src/issuers.rs
+++ b/crates/gg-ledger/src/issuers.rs
@@ -1,7 +1,7 @@
 //! Which ledger instances issue permits and credit. All clients and instances
 //! with the same layout agree on them (rendezvous hashing).
 
-use crate::{Layout, set::fnv1a};
+use crate::{Layout, hash::mix, set::fnv1a};
 
 impl Layout {
     /// Disks of all sets, in order and without duplicates.
@@ -31,10 +31,3 @@
 fn set_disks(set: &crate::LedgerSet) -> impl Iterator<Item = u64> {
     set.members.iter().chain(set.next.iter().flatten()).map(|member| member.disk)
 }
-
-/// Spreads the bits of a key evenly (the finalizer of SplitMix64).
-fn mix(key: u64) -> u64 {
-    let key = (key ^ (key >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let key = (key ^ (key >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    key ^ (key >> 31)
-}
--- a/crates/gg-ledger/src/lib.rs
+++ b/crates/gg-ledger/src/lib.rs
@@ -8,6 +8,8 @@
 
 mod abandonment;
 mod account;
+mod budget;
+mod budget_check;
 mod capacity;
 mod chains;
 mod change_progress;
@@ -21,6 +23,8 @@
 mod entry;
 mod entry_filter;
 mod error;
+mod hash;
+mod history;
 mod index;
 mod issuers;
 mod layout_controller;
@@ -49,7 +53,8 @@
 mod view;
 
 pub use abandonment::Abandonment;
-pub use account::LastRun;
+pub use account::{LastRun, SettledTurns, TurnSpend};
+pub use budget_check::{AccountReport, BudgetCheck, MergedAccount};
 pub use capacity::{Capacity, Opener, Usage};
 pub use client::{Ledger, OpenRequest, OpenedTurn, TurnKey};
 pub use crashes::{AgedFact, CrashFact, CrashFacts, RequestFingerprint};
@@ -70,6 +75,7 @@
 pub use poll::{PollReply, PollTunnels};
 pub use polling_clients::{OverloadReport, PollingClients, TunnelOffer};
 pub use program_admission::{CreditState, ProgramAdmission, ProgramMeans};
+pub use protocol::TEXT_MAX_BYTES;
 pub use quota::{CREDIT_ISSUERS, CreditLimit, QuotaBounds};
 pub use removal::RemovalBlock;
 pub use segment::{Location, StoredContent, StoredEntry};
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -21,13 +21,17 @@
 
 use crate::{
     AgedFact, CreditReply, CreditRequest, Layout, LimitReport, LogEntry, OverloadReport,
-    PermitReply, PermitRequest, TunnelOffer, TurnRecord,
+    PermitReply, PermitRequest, SettledTurns, TunnelOffer, TurnRecord,
     account::{LastRun, TurnSpend},
     index::Chain,
 };
 
 /// Largest frame, in bytes. A chain of 280,000 tokens fits.
-const FRAME_MAX_BYTES: usize = 16 << 20;
+pub(crate) const FRAME_MAX_BYTES: usize = 16 << 20;
+
+/// Largest text of a turn or of a chain, in bytes. A frame has room for it and
+/// for the names and fields that go with it.
+pub const TEXT_MAX_BYTES: usize = FRAME_MAX_BYTES - (256 << 10);
 
 /// Crash facts that one process sends to another one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -90,6 +94,10 @@
         record: Option<TurnRecord>,
         /// Replica that ran the turn, if no turn record carries it.
         run: Option<LastRun>,
+        /// Further settled turns of the program with their tokens, which the
+        /// instance lacks. A trailing field.
+        #[serde(skip)]
+        missed: Vec<(Name, u32)>,
     },
     /// Returns what each turn of a program spent or reserved.
     Account(Name),
@@ -166,6 +174,9 @@
         /// trailing field.
         #[serde(skip)]
         has_gap: bool,
+        /// Settled turns among the others. A trailing field.
+        #[serde(skip)]
+        settled: Option<SettledTurns>,
     },
     /// Reply to [`Op::Account`].
     Account(Vec<TurnSpend>),
@@ -220,6 +231,7 @@
     /// The request was addressed to another disk.
     WrongDisk,
     /// Reply to [`Op::Open`]: memory is exhausted, and nothing was reserved.
+    /// Reply to [`Op::Fetch`] and [`Op::Find`]: the chain is too long to be sent.
     Full,
 }
 
@@ -251,13 +263,17 @@
     match &request.op {
         Op::Open { continues: Some(turn), .. } => encode(request, Some(turn)),
         Op::Ping { credit: Some(credit) } => encode(request, Some(credit)),
+        Op::Close { missed, .. } if !missed.is_empty() => encode(request, Some(missed)),
         _ => encode(request, None::<&Name>),
     }
 }
 
-/// Encodes a reply with its trailing field into a frame's payload.
+/// Encodes a reply with its trailing fields into a frame's payload.
 pub(crate) fn encode_reply(reply: &Reply) -> Bytes {
     match &reply.body {
+        ReplyBody::Opened { has_gap, settled: Some(settled), .. } => {
+            encode(reply, Some(&(has_gap, settled)))
+        }
         ReplyBody::Opened { has_gap: true, .. } => encode(reply, Some(&true)),
         ReplyBody::PullChunk { ages_ms, .. } => encode(reply, Some(ages_ms)),
         ReplyBody::Poll { updates, .. } | ReplyBody::Mirror(updates) => {
@@ -281,8 +297,9 @@
 pub(crate) fn decode_request(frame: &BytesMut) -> Result<Request, FrameError> {
     let (mut request, rest): (Request, _) = postcard::take_from_bytes(frame)?;
     match &mut request.op {
-        Op::Open { continues, .. } => *continues = trailing(rest)?,
-        Op::Ping { credit } => *credit = trailing(rest)?,
+        Op::Open { continues, .. } => *continues = trailing(rest)?.0,
+        Op::Close { missed, .. } => *missed = trailing(rest)?.0.unwrap_or_default(),
+        Op::Ping { credit } => *credit = trailing(rest)?.0,
         _ => {}
     }
     Ok(request)
@@ -292,15 +309,19 @@
 pub(crate) fn decode_reply(frame: &BytesMut) -> Result<Reply, FrameError> {
     let (mut reply, rest): (Reply, _) = postcard::take_from_bytes(frame)?;
     match &mut reply.body {
-        ReplyBody::Opened { has_gap, .. } => *has_gap = trailing(rest)?.unwrap_or_default(),
-        ReplyBody::PullChunk { ages_ms, .. } => *ages_ms = trailing(rest)?.unwrap_or_default(),
+        ReplyBody::Opened { has_gap, settled, .. } => {
+            let (gap, rest) = trailing(rest)?;
+            *has_gap = gap.unwrap_or_default();
+            *settled = trailing(rest)?.0;
+        }
+        ReplyBody::PullChunk { ages_ms, .. } => *ages_ms = trailing(rest)?.0.unwrap_or_default(),
         ReplyBody::Poll { updates, .. } | ReplyBody::Mirror(updates) => {
-            let ages: Vec<Option<u32>> = trailing(rest)?.unwrap_or_default();
+            let ages: Vec<Option<u32>> = trailing(rest)?.0.unwrap_or_default();
             for (update, age_ms) in updates.iter_mut().zip(ages) {
                 update.age = age_ms.map(|ms| Duration::from_millis(ms.into()));
             }
         }
-        ReplyBody::Pong { credit } => *credit = trailing(rest)?,
+        ReplyBody::Pong { credit } => *credit = trailing(rest)?.0,
         _ => {}
     }
     Ok(reply)
@@ -314,11 +335,15 @@
     ages.iter().any(Option::is_some).then_some(ages)
 }
 
-/// Decodes a trailing field; `None` if the message has none.
-fn trailing<T: DeserializeOwned>(rest: &[u8]) -> Result<Option<T>, FrameError> {
+/// Decodes a trailing field, `None` if the message has none, and returns what
+/// follows it.
+fn trailing<T: DeserializeOwned>(rest: &[u8]) -> Result<(Option<T>, &[u8]), FrameError> {
     match rest {
-        [] => Ok(None),
-        _ => Ok(Some(postcard::take_from_bytes(rest)?.0)),
+        [] => Ok((None, rest)),
+        _ => {
+            let (field, rest) = postcard::take_from_bytes(rest)?;
+            Ok((Some(field), rest))
+        }
     }
 }
 
