Request rates: findings of the review

What accounts lost or could gain, by reading the joined code: - An issuer that kept its place began anew, with what it had earned since, when a layout of over 120 s ago was forgotten: up to a whole depth beyond the bound, in the middle of a flood. It asks for one (demand_sizes_requests). - A request that waits for a place held credit until it was void. It gives it back and asks again, and gets credit before a replica is chosen instead of after. - A request that was read before accounts were introduced would have been sent with its key.

--- a/crates/gg-gateway/src/access.rs
+++ b/crates/gg-gateway/src/access.rs
@@ -40,6 +40,16 @@
             .map_err(|err| self.refuse_key(err, credential))
     }
 
+    /// Checks a request without an account once more before it is sent: the key of
+    /// one that was read before accounts were introduced is still in its head.
+    pub(crate) fn check_keyless(&self, had_accounts: bool) -> Result<(), Failure> {
+        let has_accounts = self.table().is_some_and(|table| table.has_accounts());
+        match has_accounts && !had_accounts {
+            true => Err(self.refuse_key(IdentityError::Changed, None)),
+            false => Ok(()),
+        }
+    }
+
     /// Whether requests with a key are accepted, or need none.
     pub(crate) fn accepts_keys(&self) -> bool {
         self.table().is_none_or(|table| !table.has_accounts()) || self.trusts_keys()
--- a/crates/gg-gateway/src/account_credit.rs
+++ b/crates/gg-gateway/src/account_credit.rs
@@ -77,13 +77,24 @@
     }
 
     /// Prepares a request to an issuer. Returns for how many requests credit is
-    /// wanted, and the programs that used credit granted before.
-    pub fn prepare(&mut self, issuer: u64, lease: Duration, now: Instant) -> (u32, Vec<u32>) {
+    /// wanted, and the programs that used credit granted before. Credit is wanted
+    /// ahead only for work in progress, as new work takes none of it.
+    pub fn prepare(
+        &mut self,
+        issuer: u64,
+        work: CreditUse,
+        lease: Duration,
+        now: Instant,
+    ) -> (u32, Vec<u32>) {
         let credit = self.issuers.entry(issuer).or_default();
+        let used = std::mem::take(&mut credit.used);
+        if work == CreditUse::New {
+            return (1, used);
+        }
         let demand = credit.add_demand(now);
         let per_second = demand * std::f64::consts::LN_2 / DEMAND_HALF_LIFE.as_secs_f64();
         let ahead = (per_second * lease.as_secs_f64() * SURPLUS_SHARE) as u32;
-        (1 + ahead.min(SURPLUS_MAX), std::mem::take(&mut credit.used))
+        (1 + ahead.min(SURPLUS_MAX), used)
     }
 
     /// Records credit that was granted beyond the first request.
--- a/crates/gg-gateway/src/credit.rs
+++ b/crates/gg-gateway/src/credit.rs
@@ -141,8 +141,8 @@
             }
             // Measured from here: the issuer has granted it later.
             let valid_until = BootTime::now().after(lease);
-            let (count, used) =
-                self.with_account(&claim.account, |account| account.prepare(issuer, lease, now));
+            let (count, used) = self
+                .with_account(&claim.account, |account| account.prepare(issuer, work, lease, now));
             let request = CreditRequest { work, count, used, ..claim.request() };
             let reply = self.ledger.request_credit(issuer, request).await;
             let now = Instant::now();
@@ -233,6 +233,12 @@
         lock(&self.held).iter().any(Credit::is_valid)
     }
 
+    /// Returns all credit to its issuers, as the request can't be sent yet.
+    pub(crate) fn release(&self) {
+        let held = std::mem::take(&mut *lock(&self.held));
+        drop(held);
+    }
+
     fn put(&self, credit: Credit) {
         lock(&self.held).push(credit);
     }
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -64,6 +64,7 @@
     };
     let mut denied: Vec<Arc<Replica>> = Vec::new();
     loop {
+        credit::renew(state, job).await.map_err(unplaced)?;
         // Similar requests may have crashed replicas while this one waited, or
         // while it was on a replica that then refused it.
         crash::check(state, job).map_err(unplaced)?;
@@ -106,6 +107,8 @@
             denied.push(selected.replica);
             continue;
         }
+        // Credit would be void, and lost to the account, before there is room.
+        job.credit.release();
         if time::timeout_at(limit, notified).await.is_err() {
             return Err(unplaced(refusal("all replicas are full")));
         }
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -38,6 +38,8 @@
     /// Account whose key the client presented; `None` on public routes without
     /// a valid key, and if the configuration has no accounts.
     pub(crate) account: Option<Arc<Account>>,
+    /// Whether the configuration that the request was read with has accounts.
+    pub(crate) has_accounts: bool,
     /// Credit of the account to send the request.
     pub(crate) credit: HeldCredit,
     pub(crate) started_at: Instant,
@@ -75,10 +77,12 @@
         owned_name(self.account.as_deref(), id)
     }
 
-    /// Fails if the request may no longer be sent, as its key was withdrawn or
-    /// can't be checked any more.
+    /// Fails if the request may no longer be sent: its key was withdrawn or can't
+    /// be checked any more, or accounts were introduced while it waited.
     pub(crate) fn check_key<D>(&self, state: &State<D>) -> Result<(), Failure> {
-        let Some(account) = &self.account else { return Ok(()) };
+        let Some(account) = &self.account else {
+            return state.check_keyless(self.has_accounts);
+        };
         let checked =
             state.identify_again(self.route.is_public, account, self.envelope.credential.as_ref());
         if let Err(failure) = &checked {
@@ -232,7 +236,8 @@
     let route = find_route(&table, &head)?;
     let account =
         state.identify(&table, trusts_keys, route.is_public, envelope.credential.as_ref())?;
-    if table.has_accounts() {
+    let has_accounts = table.has_accounts();
+    if has_accounts {
         state.deployment.remove_credential(&mut head.headers);
     }
     let service = select_service(&table, &route, &envelope)?;
@@ -249,6 +254,7 @@
         route,
         service,
         account,
+        has_accounts,
         credit,
         started_at,
         deadline,
--- a/crates/gg-gateway/tests/account_credit.rs
+++ b/crates/gg-gateway/tests/account_credit.rs
@@ -16,19 +16,20 @@
 }
 
 /// Credit wanted for one request after `requests` of them at this interval.
-fn wanted(requests: u64, interval_ms: u64) -> u32 {
+fn wanted(requests: u64, interval_ms: u64, work: CreditUse) -> u32 {
     let (start, mut credit) = (Instant::now(), AccountCredit::default());
     let wanted = (0..requests)
-        .map(|number| credit.prepare(ISSUER, LEASE, at(start, number * interval_ms)).0);
+        .map(|number| credit.prepare(ISSUER, work, LEASE, at(start, number * interval_ms)).0);
     wanted.last().expect("a request")
 }
 
 #[test]
 fn demand_sizes_requests() {
-    assert_eq!(wanted(1, 0), 1);
-    assert_eq!(wanted(50, 500), 1, "two a second need no credit ahead");
-    let many = wanted(400, 10);
+    assert_eq!(wanted(1, 0, CreditUse::InProgress), 1);
+    assert_eq!(wanted(50, 500, CreditUse::InProgress), 1, "two a second need no credit ahead");
+    let many = wanted(400, 10, CreditUse::InProgress);
     assert!((8..=14).contains(&many), "{many} wanted ahead, of 25 a lease");
+    assert_eq!(wanted(400, 10, CreditUse::New), 1, "new work takes none of it");
 }
 
 #[test]
@@ -38,8 +39,9 @@
     credit.record_grant(ISSUER, 2, clock.after(LEASE));
     assert_eq!(credit.take(12, Some(1), clock, start), None, "another issuer's");
     assert_eq!(credit.take(ISSUER, Some(1), clock, start), Some(clock.after(LEASE)));
-    assert_eq!(credit.prepare(ISSUER, LEASE, start).1, [1], "programs that used it are told");
-    assert!(credit.prepare(ISSUER, LEASE, start).1.is_empty(), "once");
+    let prepared = credit.prepare(ISSUER, CreditUse::InProgress, LEASE, start);
+    assert_eq!(prepared.1, [1], "programs that used it are told");
+    assert!(credit.prepare(ISSUER, CreditUse::New, LEASE, start).1.is_empty(), "once");
     assert_eq!(credit.take(ISSUER, Some(1), clock.after(LEASE), start), None, "void");
 }
 
--- a/crates/gg-ledger/src/credit_issuer.rs
+++ b/crates/gg-ledger/src/credit_issuer.rs
@@ -246,13 +246,15 @@
 
 impl AccountCredit {
     /// Adds the credit that was earned since the last call. Whoever has just
-    /// become an issuer doesn't know what was granted before.
+    /// become an issuer doesn't know what was granted before; whoever has granted
+    /// credit since then does, also if its former layouts are forgotten.
     fn earn(&mut self, part: CreditLimit, since: Instant, now: Instant) {
-        if self.since != Some(since) {
-            self.since = Some(since);
+        let has_granted = self.since.is_some() && self.updated_at >= since;
+        if self.since != Some(since) && !has_granted {
             self.level = part.start;
             self.updated_at = since;
         }
+        self.since = Some(since);
         let earned = now.saturating_duration_since(self.updated_at).as_secs_f64();
         self.level = (self.level + part.rate * earned).min(part.depth);
         self.updated_at = self.updated_at.max(now);
--- a/crates/gg-ledger/tests/credit.rs
+++ b/crates/gg-ledger/tests/credit.rs
@@ -137,6 +137,21 @@
     assert_eq!(first, 2, "a part of the slack");
 }
 
+/// An issuer that keeps its place doesn't refill when an old layout is forgotten.
+#[test]
+fn old_layouts_refill_nothing() {
+    let start = Instant::now();
+    let (limit, mut issuer) = (BOUNDS.limit(1, 30.0, 60.0), issuer(&DISKS, start));
+    issuer.record_layout(vec![11, 12, 13, 14], false, at(start, 100_000));
+    for second in 60..300 {
+        drain(&mut issuer, 11, limit, at(start, second * 1_000), 2_000);
+    }
+    assert_eq!(drain(&mut issuer, 11, limit, at(start, 299_000), 1), 0, "it is used up");
+    issuer.record_layout(vec![11, 12, 13, 15], false, at(start, 299_001));
+    let more = drain(&mut issuer, 11, limit, at(start, 299_001), 1);
+    assert_eq!(more, 0, "the layout of the first 100 s is forgotten");
+}
+
 #[test]
 fn lower_limit_binds() {
     let start = Instant::now();
