--- a/crates/gg-dispatch/src/admission.rs
+++ b/crates/gg-dispatch/src/admission.rs
@@ -225,6 +225,11 @@
         }
     }
 
+    /// Mean number of requests in flight per gateway, if it is known.
+    pub fn mean_in_flight(&self, now: Instant) -> Option<f64> {
+        self.stats(now).mean_in_flight().map(f64::from)
+    }
+
     /// Updates the limit, at most once per [`LIMIT_UPDATE_INTERVAL`].
     fn update_limit(&mut self, occupancy: Occupancy, now: Instant) {
         if now.saturating_duration_since(self.limit_updated) < LIMIT_UPDATE_INTERVAL {
