Gateways offer new replicas requests at their own pace

New replicas of the gateway's data centre leave the normal choice until they are established; requests without history are offered to them. Their answers are one more name among the overload statistics of polls, so no message changes. Replicas that are listed as the gateway starts, or whose entry only lapsed, are not new.

There is no test of the wiring with real gateways.

--- a/crates/gg-gateway/src/admit.rs
+++ b/crates/gg-gateway/src/admit.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use gg_dispatch::{Admission, NewWork, Occupancy};
+use gg_dispatch::{Admission, NewWork, Occupancy, PeerLoad};
 use gg_ledger::{CreditUse, OverloadReport};
 use gg_protocol::{Code, Failure, Name, OverloadStats};
 use gg_route::RouteKind;
@@ -13,6 +13,7 @@
     call::refusal,
     credit,
     fleet::Service,
+    pacing,
     place::{no_permit, permit_wait, untried},
     proxy::Job,
     state::{State, lock},
@@ -160,7 +161,8 @@
     record_outcome(state, job, true);
 }
 
-/// Recent overload statistics of all services, as sent to other gateways.
+/// Recent overload statistics of all services, and answers of new replicas, as
+/// sent to other gateways.
 pub(crate) fn overload_statistics<D>(state: &State<D>) -> OverloadReport {
     let now = Instant::now();
     let mut admissions = lock(&state.admissions);
@@ -170,14 +172,29 @@
         let stats = OverloadStats { in_flight: in_flight as f32, ..control.own_stats(now) };
         (name.clone(), stats)
     });
-    statistics
+    let mut report: OverloadReport = statistics
         .filter(|(_, stats)| stats.started >= SHARED_RESPONSES_MIN || stats.in_flight > 0.0)
-        .collect()
+        .collect();
+    report.extend(pacing::report(&state.fleet, &state.centre));
+    report
+}
+
+/// Load of a replica of `service` as all gateways have it on the mean.
+pub(crate) fn peer_load<D>(state: &State<D>, name: &Name, service: &Service) -> PeerLoad {
+    let gateways = state.gateways();
+    let own = f64::from(service.load.in_flight().iter().sum::<u32>());
+    let mean = lock(&state.admissions).get(name).and_then(|own| own.mean_in_flight(Instant::now()));
+    let replicas = service.replicas.iter().filter(|replica| replica.is_open()).count().max(1);
+    let in_flight = mean.unwrap_or(own) * f64::from(gateways) / replicas as f64;
+    PeerLoad { in_flight, gateways }
 }
 
 /// Applies the overload statistics summed over many gateways.
 pub(crate) fn record_shared<D>(state: &State<D>, overload: OverloadReport) {
     for (name, stats) in overload {
+        if pacing::record_shared(&state.fleet, &name, stats, state.gateways(), Instant::now()) {
+            continue;
+        }
         let Some(service) = state.fleet.service(&name) else { continue };
         let occupancy = occupancy(state, &service);
         update(state, &name, |control, now| control.record_shared(stats, occupancy, now));
--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     admit::{admit, record_delay},
-    crash, credit,
+    crash, credit, pacing,
     permit::Permit,
     place::{place, select, untried},
     proxy::Job,
@@ -87,6 +87,7 @@
     // A replica that announces a limit gets no second copy of a request.
     let mut available = untried(&service, tried);
     available.retain(|replica| replica.rate_limit().is_none());
+    let available = pacing::split(&available).established;
     let selected = select(state, job, &available, &OpenedTurn::default())?;
     let permit = Permit::unlimited(&selected.replica)?;
     if !lock(&state.hedges).spend() {
@@ -111,6 +112,8 @@
     let status = sent.response.status();
     let (mut headers, body, lease) = read_whole(state, job, sent).await?;
     replica.record_delay(started_at.elapsed().as_secs_f64() * 1e3);
+    let service = state.fleet.service(&job.service.name);
+    pacing::record_answer(service.as_ref(), &replica, started_at.elapsed(), Duration::ZERO);
     record_delay(state, job, started_at.elapsed(), Duration::ZERO);
     lease.release(&headers);
     strip_hop_headers(&mut headers);
--- a/crates/gg-gateway/src/fleet.rs
+++ b/crates/gg-gateway/src/fleet.rs
@@ -6,13 +6,15 @@
     time::{Duration, Instant},
 };
 
+use gg_dispatch::Pace;
 use gg_protocol::Name;
 use gg_route::{Upstream, UpstreamState};
 use indexmap::IndexMap;
 
 use crate::{
+    Departures,
     pool::Connection,
-    replica::{Replica, ServiceLoad},
+    replica::{Replica, ServiceLoad, Start},
     state::lock,
 };
 
@@ -20,10 +22,16 @@
 /// it ends. Their replicas stay usable until then.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Nothing is known of the age of replicas that are listed within this time after
+/// the first one: the gateway or the whole deployment has just started.
+const FIRST_LIST_TIME: Duration = Duration::from_secs(5);
+
 /// Replicas by service.
 #[derive(Debug, Default)]
 pub struct Fleet {
     state: Mutex<State>,
+    /// This gateway's data centre, if new replicas are given their own pace.
+    pace_centre: Option<Name>,
 }
 
 #[derive(Debug, Default)]
@@ -35,6 +43,10 @@
     missing: HashMap<Name, Instant>,
     /// Last time at which the directory did not respond.
     lost_at: Option<Instant>,
+    /// Replicas that ended lately.
+    departures: Departures,
+    /// When the first replica was listed.
+    first_listed_at: Option<Instant>,
 }
 
 /// Replicas of one service.
@@ -45,12 +57,19 @@
 }
 
 impl Fleet {
+    /// A fleet whose new replicas are given their own pace, as seen by a gateway in
+    /// `pace_centre`; without one, they take part at once.
+    pub fn new(pace_centre: Option<Name>) -> Self {
+        Fleet { pace_centre, ..Fleet::default() }
+    }
+
     /// Sets the complete list of replicas; all others are removed.
     pub fn replace(&self, upstreams: Vec<Upstream>) {
         let mut state = lock(&self.state);
         let present: Vec<Name> =
             upstreams.iter().map(|upstream| upstream.id.name.clone()).collect();
-        upstreams.into_iter().for_each(|upstream| state.put(upstream));
+        let centre = self.pace_centre.as_deref();
+        upstreams.into_iter().for_each(|upstream| state.put(upstream, centre));
         let removed: Vec<Name> =
             state.replicas.keys().filter(|name| !present.contains(name)).cloned().collect();
         removed.iter().for_each(|name| state.remove(name));
@@ -58,7 +77,7 @@
 
     /// Adds or updates one replica.
     pub fn put(&self, upstream: Upstream) {
-        lock(&self.state).put(upstream);
+        lock(&self.state).put(upstream, self.pace_centre.as_deref());
     }
 
     /// Removes a replica whose entry was removed from the directory.
@@ -133,7 +152,9 @@
 }
 
 impl State {
-    fn put(&mut self, upstream: Upstream) {
+    /// Adds or updates a replica; a new one gets its own pace if `pace_centre` is
+    /// set.
+    fn put(&mut self, upstream: Upstream, pace_centre: Option<&str>) {
         let name = upstream.id.name.clone();
         self.missing.remove(&name);
         if let Some(known) = self.replicas.get(&name) {
@@ -155,13 +176,28 @@
             upstream.centre,
             upstream.state
         );
+        let now = Instant::now();
+        let pace = pace_centre.and_then(|centre| self.start_of(&upstream, centre, now));
         let service = self.services.entry(upstream.service.clone()).or_default();
-        let replica = Arc::new(Replica::new(upstream, service.load.clone()));
+        let replica = Arc::new(Replica::new(upstream, service.load.clone(), pace));
         service.replicas.push(replica.clone());
         service.load.freed.notify_waiters();
         self.replicas.insert(name, replica);
     }
 
+    /// How a replica that was just listed begins, unless it is not new.
+    fn start_of(&mut self, upstream: &Upstream, centre: &str, now: Instant) -> Option<Start> {
+        let first_listed_at = *self.first_listed_at.get_or_insert(now);
+        let is_first_list = now.saturating_duration_since(first_listed_at) < FIRST_LIST_TIME;
+        if is_first_list || self.departures.is_known(upstream) {
+            return None;
+        }
+        Some(match *upstream.centre == *centre {
+            true => Start::Paced(Pace::new(self.departures.recent_ends(upstream, now), now)),
+            false => Start::Remote,
+        })
+    }
+
     fn remove(&mut self, name: &str) {
         let lapsed = self.lost_at.is_some_and(|at| at.elapsed() < LAPSE_GRACE);
         match self.replicas.get_key_value(name) {
@@ -179,6 +215,7 @@
         self.missing.remove(name);
         let Some(replica) = self.replicas.shift_remove(name) else { return };
         log::info!("event=replica_gone replica={name}");
+        self.departures.record(&replica.upstream, Instant::now());
         replica.set_draining();
         if let Some(service) = self.services.get_mut(&replica.upstream.service) {
             service.replicas.retain(|known| !Arc::ptr_eq(known, &replica));
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -71,7 +71,7 @@
     let rate = settings.accounts.rate;
     let centre = settings.centre.clone();
     let state = State::new(deployment, centre, ledger, connector, revocation, rate, metrics);
-    let state = Arc::new(state);
+    let state = Arc::new(if settings.paces_replicas { state.with_replica_pace() } else { state });
     if let Some(address) = settings.metrics {
         let refresh = {
             let state = state.clone();
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -10,10 +10,12 @@
 use tokio::time::{self, Instant};
 
 use crate::{
+    admit::peer_load,
     call::{limited, refusal},
     choice::{Candidate, ChoiceSettings, choose},
     crash, credit,
     fleet::Service,
+    pacing::{self, Paced},
     permit::Permit,
     proxy::{Job, hash},
     replica::{InFlight, Placement, Replica},
@@ -94,7 +96,11 @@
             return Err(unplaced(no_permit(job, &available)));
         }
         let candidates = after_denials(&in_time, &denied);
-        if let Some(selected) = select(state, job, &candidates, opened) {
+        let paced = pacing::split(&candidates);
+        let selected = select_new(state, job, &service, &paced, opened)
+            .or_else(|| select(state, job, &paced.established, opened))
+            .or_else(|| select(state, job, &paced.new, opened));
+        if let Some(selected) = selected {
             let wait_max = selected.wait_max.min(permit_max);
             if let Some(permit) = Permit::acquire(state, job, &selected.replica, wait_max).await {
                 credit::renew(state, job).await.map_err(unplaced)?;
@@ -211,6 +217,44 @@
     }
 }
 
+/// Selects a new replica if the request is offered to one. Only requests without
+/// history are: others have to read it again there.
+fn select_new<D>(
+    state: &State<D>,
+    job: &Job,
+    service: &Service,
+    paced: &Paced<'_>,
+    opened: &OpenedTurn,
+) -> Option<Selected> {
+    if paced.new.is_empty() {
+        return None;
+    }
+    let is_free = opened.history.is_empty() && opened.upstream.is_none();
+    let free_share = service.load.record_free(is_free);
+    if !is_free {
+        return None;
+    }
+    let peers = peer_load(state, &job.service.name, service);
+    // The requests without history make up for those that stay where they are.
+    let draw = rand::rng().random_range(0.0..1.0) * free_share;
+    let is_repeatable = job.route.is_repeatable();
+    let (replica, view) = pacing::offer(paced, &state.centre, peers, is_repeatable, draw)?;
+    let selected = select(state, job, &[replica], opened)?;
+    log::info!(
+        "event=offered request={} replica={} timely={:.1} late={:.1} in_flight={:.1} \
+         window={:.1} peers={:.1} age_ms={}",
+        job.id(),
+        replica.upstream.id.name,
+        view.timely,
+        view.late,
+        view.in_flight,
+        view.window,
+        peers.in_flight,
+        view.age.map_or("-".to_owned(), |age| age.as_millis().to_string()),
+    );
+    Some(selected)
+}
+
 /// Selects the best of the `available` replicas; `None` if all are full.
 pub(crate) fn select<D>(
     state: &State<D>,
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::{
     EventCount, EventSplitter, Repeated, Reservation,
     admit::{record_delay, record_event_interval},
+    pacing,
     pieces::Pieces,
     proxy::Job,
     resume::Resume,
@@ -296,6 +297,9 @@
                 let replica = lease.replica();
                 replica.record_delay(self.started_at.elapsed().as_secs_f64() * 1e3);
                 let (settlement, prefill) = (&self.settlement, lease.place.prefill);
+                let service = settlement.state.fleet.service(&settlement.job.service.name);
+                let delay = self.started_at.elapsed();
+                pacing::record_answer(service.as_ref(), replica, delay, prefill);
                 record_delay(
                     &settlement.state,
                     &settlement.job,
--- a/crates/gg-gateway/src/replica.rs
+++ b/crates/gg-gateway/src/replica.rs
@@ -8,7 +8,8 @@
     time::{Duration, Instant},
 };
 
-use gg_protocol::{Name, config::RANKS};
+use gg_dispatch::{Pace, PaceView, PacedAnswer, PeerLoad};
+use gg_protocol::{Name, OverloadStats, config::RANKS};
 use gg_route::{PromptPart, Service, Upstream, UpstreamState};
 use tokio::sync::Notify;
 
@@ -23,6 +24,9 @@
 /// Weight of the newest observation in a replica's mean delay.
 const DELAY_WEIGHT: f64 = 0.2;
 
+/// Weight of the newest request in the share of those without history.
+const FREE_WEIGHT: f64 = 0.05;
+
 /// Weight of the newest observation in the mean time that a request occupies a
 /// replica.
 const OCCUPIED_WEIGHT: f64 = 0.05;
@@ -35,6 +39,14 @@
 /// have been sent before the loss, as a slow instance reads it late.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(25);
 
+/// After this time a replica takes part like all others in any case; whatever
+/// still slows it down isn't its start.
+const PACE_TIME_MAX: Duration = Duration::from_secs(30);
+
+/// After this time a new replica of another data centre takes part like all
+/// others; by then the gateways there have found its pace.
+const REMOTE_START_TIME: Duration = Duration::from_secs(5);
+
 /// Requests of this gateway in flight on all replicas of one service, or waiting
 /// for one of them.
 #[derive(Debug, Default)]
@@ -45,6 +57,9 @@
     in_flight: [AtomicU32; RANKS],
     /// Mean time that a request occupies a replica, in seconds.
     occupied_s: Mutex<Option<f64>>,
+    /// Share of the requests that may go to any replica, as they have no history
+    /// on one.
+    free_share: Mutex<Option<f64>>,
 }
 
 impl ServiceLoad {
@@ -70,6 +85,15 @@
         }
     }
 
+    /// Records whether a request may go to any replica; returns the share of those
+    /// that may.
+    pub(crate) fn record_free(&self, is_free: bool) -> f64 {
+        let mut mean = lock(&self.free_share);
+        let free = f64::from(u8::from(is_free));
+        let share = mean.map_or(free, |mean| mean + FREE_WEIGHT * (free - mean));
+        *mean.insert(share)
+    }
+
     fn record_occupied(&self, time: Duration) {
         let mut mean = lock(&self.occupied_s);
         let seconds = time.as_secs_f64();
@@ -106,6 +130,31 @@
     Unknown,
 }
 
+/// How a new replica begins.
+#[derive(Debug)]
+pub(crate) enum Start {
+    /// It is offered requests at its own pace.
+    Paced(Pace),
+    /// It is in another data centre, whose gateways find its pace.
+    Remote,
+}
+
+impl Start {
+    fn pace(&self) -> Option<&Pace> {
+        match self {
+            Start::Paced(pace) => Some(pace),
+            Start::Remote => None,
+        }
+    }
+
+    fn pace_mut(&mut self) -> Option<&mut Pace> {
+        match self {
+            Start::Paced(pace) => Some(pace),
+            Start::Remote => None,
+        }
+    }
+}
+
 /// A replica of one service.
 #[derive(Debug)]
 pub(crate) struct Replica {
@@ -132,16 +181,33 @@
     delay: Option<(f64, Instant)>,
     last_response: Option<Instant>,
     rate_limit: RateLimit,
+    /// Set until the replica is established.
+    start: Option<Start>,
+    /// Share of the prompts unknown to this gateway that the replica has cached,
+    /// as the answers of all gateways showed when it was established.
+    cached_share: f64,
+}
+
+impl Observations {
+    fn pace_mut(&mut self) -> Option<&mut Pace> {
+        self.start.as_mut()?.pace_mut()
+    }
 }
 
 impl Replica {
-    pub(crate) fn new(upstream: Upstream, service_load: Arc<ServiceLoad>) -> Self {
+    /// A replica that was just listed; `start` is set if it is new.
+    pub(crate) fn new(
+        upstream: Upstream,
+        service_load: Arc<ServiceLoad>,
+        start: Option<Start>,
+    ) -> Self {
+        let observed = Mutex::new(Observations { start, ..Observations::default() });
         Replica {
             pool: Pool::new(upstream.address),
             listed_at: Instant::now(),
             load: AtomicU32::new(0),
             draining: AtomicBool::new(upstream.state == UpstreamState::Draining),
-            observed: Mutex::default(),
+            observed,
             last_probe: tokio::sync::Mutex::default(),
             confirming: AtomicBool::new(false),
             service_load,
@@ -173,7 +239,85 @@
     /// Records that the replica failed or refused a request; other replicas are
     /// preferred for `time`.
     pub(crate) fn mark_suspect(&self, time: Duration) {
-        lock(&self.observed).suspect_until = Some(Instant::now() + time);
+        let now = Instant::now();
+        let mut observed = lock(&self.observed);
+        observed.suspect_until = Some(now + time);
+        if let Some(pace) = observed.pace_mut() {
+            pace.record_failure(now);
+        }
+    }
+
+    /// Whether the replica doesn't take part like all others yet.
+    pub(crate) fn is_paced(&self) -> bool {
+        let time_max = match &lock(&self.observed).start {
+            None => return false,
+            Some(Start::Paced(_)) => PACE_TIME_MAX,
+            Some(Start::Remote) => REMOTE_START_TIME,
+        };
+        self.listed_at.elapsed() < time_max
+    }
+
+    /// Records an answer of a replica at its own pace.
+    pub(crate) fn record_paced(&self, answer: PacedAnswer) {
+        if let Some(pace) = lock(&self.observed).pace_mut() {
+            pace.record_answer(answer, Instant::now());
+        }
+    }
+
+    /// This gateway's recent answers of a replica at its own pace.
+    pub(crate) fn paced_answers(&self) -> Option<OverloadStats> {
+        let load = self.load();
+        let mut observed = lock(&self.observed);
+        observed.pace_mut().map(|pace| pace.own_answers(load, Instant::now()))
+    }
+
+    /// Records the answers of all gateways; ends the replica's own pace once it is
+    /// established, and returns whether it did now.
+    pub(crate) fn record_paced_sum(
+        &self,
+        answers: OverloadStats,
+        gateways: u32,
+        now: Instant,
+    ) -> bool {
+        let load = self.load();
+        let mut observed = lock(&self.observed);
+        let Some(pace) = observed.pace_mut() else { return false };
+        pace.record_shared(answers, now);
+        let view = pace.view(gateways, load, now);
+        if !pace.is_established(&view) {
+            return false;
+        }
+        let cached_share = pace.cached_share(gateways, now);
+        log::info!(
+            "event=replica_established replica={} after_ms={} timely={:.1} late={:.1} \
+             cached={cached_share:.2}",
+            self.upstream.id.name,
+            now.saturating_duration_since(self.listed_at).as_millis(),
+            view.timely,
+            view.late,
+        );
+        observed.cached_share = cached_share;
+        observed.start = None;
+        true
+    }
+
+    /// Assumes this mean delay, in ms, until there are answers.
+    pub(crate) fn assume_delay(&self, ms: f64) {
+        lock(&self.observed).delay.get_or_insert((ms, Instant::now()));
+    }
+
+    /// The part of a mean replica's requests to offer to a replica at its own pace,
+    /// and what it follows from.
+    pub(crate) fn pace_share(
+        &self,
+        peers: PeerLoad,
+        is_repeatable: bool,
+    ) -> Option<(PaceView, f64)> {
+        let (load, now) = (self.load(), Instant::now());
+        let observed = lock(&self.observed);
+        let pace = observed.start.as_ref()?.pace()?;
+        let view = pace.view(peers.gateways, load, now);
+        Some((view, pace.share(&view, peers, is_repeatable)))
     }
 
     /// Records that the replica responded to a request.
@@ -261,7 +405,14 @@
     /// Estimate of the tokens of a prompt that are not in the replica's prefix
     /// cache.
     pub(crate) fn uncached_tokens(&self, prompt: &[PromptPart], service: &Service) -> u64 {
-        lock(&self.observed).prefix_cache.uncached_tokens(prompt, cache_capacity(service))
+        let observed = lock(&self.observed);
+        let tokens = observed.prefix_cache.uncached_tokens(prompt, cache_capacity(service));
+        // The first part is often common to many requests.
+        let first = prompt.first().map_or(0, |part| u64::from(part.tokens));
+        match observed.cached_share {
+            share if share > 0.0 && tokens >= first => tokens - (first as f64 * share) as u64,
+            _ => tokens,
+        }
     }
 
     /// Records that the replica has processed a prompt. `gateways` gateways are
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -78,9 +78,9 @@
             metrics,
             hedges: Mutex::new(RetryBudget::new(HEDGE_SHARE, HEDGE_BURST)),
             deployment,
-            centre,
             ledger,
             fleet: Arc::default(),
+            centre,
             connector: Arc::new(connector),
             admissions: Mutex::default(),
             programs: Mutex::default(),
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Gives new replicas their own pace. Called before any replica is listed.
+    pub(crate) fn with_replica_pace(mut self) -> Self {
+        self.fleet = Arc::new(Fleet::new(Some(self.centre.clone())));
+        self
+    }
+
     /// The configuration in use, if one is known.
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
         self.table.read().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -61,6 +61,9 @@
     pub stop_timeout: Duration,
     /// Whether this is the first start of the whole deployment.
     pub is_first_start: bool,
+    /// Whether new and recovered replicas get their share of the requests by how
+    /// they answer, instead of at once.
+    pub paces_replicas: bool,
     /// Bounds for client accounts.
     pub accounts: AccountSettings,
     /// Bounds on how soon the directory is followed.
@@ -208,6 +211,7 @@
         connections: section.number("connections", 2_000, 1, 65_536),
         stop_timeout: Duration::from_secs_f64(section.number("grace_s", 8.0, 1.0, 600.0)),
         is_first_start: section.flag("founding", false),
+        paces_replicas: section.flag("replica_pace", false),
         accounts: AccountSettings::default(),
         bounds: DirectoryBounds::default(),
         metrics: None,
