Logs tell which version handled a request, and where it came from

- answered, failed and the 404 of an unknown route name the version they were decided by;
- configured names its source (a ledger instance or the directory) and the age of the copy before it, which bounds how late it is;
- stalled: a timer of the gateway fired at least 250 ms late, with the age of the copy; histogram greengagefork_stall_seconds.

--- a/crates/gg-gateway/src/access.rs
+++ b/crates/gg-gateway/src/access.rs
@@ -10,7 +10,10 @@
 use gg_route::{Account, Credential, RouteTable};
 use rand::Rng;
 
-use crate::{IdentityError, identify, identify_again, state::State};
+use crate::{
+    IdentityError, identify, identify_again,
+    state::{State, millis_text},
+};
 
 impl<D> State<D> {
     /// The account for which a request runs. `trusts_keys` was determined before
@@ -61,7 +64,7 @@
         let age = self.configuration_age(Instant::now());
         let is_trusted = self.revocation.is_current(age);
         if self.has_trusted_keys.swap(is_trusted, Ordering::Relaxed) != is_trusted {
-            let age_ms = age.map_or_else(|| "-".into(), |age| age.as_millis().to_string());
+            let age_ms = millis_text(age);
             let max_ms = age_max.as_millis();
             match is_trusted {
                 true => log::info!("event=keys_trusted age_ms={age_ms} max_ms={max_ms}"),
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     admit, permit,
-    state::{State, lock},
+    state::{State, lock, millis_text},
 };
 
 /// Kinds of directory entries that a gateway follows.
@@ -52,6 +52,13 @@
 /// Interval between checks for missing replicas whose entries did not return.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Source of updates in logs that came from the directory itself.
+const DIRECTORY_SOURCE: &str = "directory";
+
+/// Delay of a timer from which on the process counts as stalled: it did not run,
+/// or other tasks ran for that long.
+const STALL_MIN: Duration = Duration::from_millis(250);
+
 /// State of one followed kind.
 struct FollowedKind<'a, D> {
     state: &'a State<D>,
@@ -116,7 +123,7 @@
             peers.extend(response.peers);
             for update in response.updates {
                 if let Some(followed) = kinds.iter().find(|followed| followed.kind == update.kind) {
-                    followed.apply_mirrored(update, response.sent_at);
+                    followed.apply_mirrored(update, response.sent_at, &response.instance);
                 }
             }
         }
@@ -126,11 +133,23 @@
         let slowdown = f64::from(state.gateways()) / f64::from(FULL_RATE_GATEWAYS);
         let has_state = state.table().is_some() && state.fleet.is_usable();
         let pause = if has_state { POLL_INTERVAL } else { START_POLL_INTERVAL };
-        let pause = time::sleep(pause.mul_f64(slowdown.clamp(1.0, f64::from(POLL_SLOWDOWN))));
+        let due = Instant::now() + pause.mul_f64(slowdown.clamp(1.0, f64::from(POLL_SLOWDOWN)));
         tokio::select! {
-            () = pause => {}
+            () = time::sleep_until(due.into()) => {}
             () = state.connector.peers_wanted() => {}
         }
+        record_stall(state, due);
+    }
+}
+
+/// Logs that a timer that was `due` fired far too late.
+fn record_stall<D>(state: &State<D>, due: Instant) {
+    let now = Instant::now();
+    let stall = now.saturating_duration_since(due);
+    if stall >= STALL_MIN {
+        state.metrics.time("stall", stall.as_micros() as u64, &[]);
+        let age = millis_text(state.configuration_age(now));
+        log::warn!("event=stalled ms={} configuration_age_ms={age}", stall.as_millis());
     }
 }
 
@@ -158,13 +177,13 @@
     }
 
     /// Applies an update of a ledger instance, in reply to a poll of `sent_at`.
-    fn apply_mirrored(&self, update: MirrorUpdate, sent_at: Instant) {
+    fn apply_mirrored(&self, update: MirrorUpdate, sent_at: Instant, instance: &str) {
         let confirmed = update.age.and_then(|age| Confirmed::from_peer(age, sent_at));
         if lock(&self.freshness).record(update.is_current, confirmed, Instant::now()) {
             self.state.fleet.record_lost();
         }
         if let Some(entries) = update.entries {
-            self.apply(DirectoryUpdate::Snapshot(update.revision, entries));
+            self.apply(DirectoryUpdate::Snapshot(update.revision, entries), instance);
         }
         if let Some(confirmed) = confirmed {
             self.confirm(confirmed);
@@ -190,12 +209,12 @@
                 _ => log::info!("event=directory_regained kind={kind}"),
             }
         }
-        self.apply(update);
+        self.apply(update, DIRECTORY_SOURCE);
     }
 
-    /// Applies an update unless a newer one was already applied. Entries that
-    /// can't be read are filtered out and logged.
-    fn apply(&self, update: DirectoryUpdate) {
+    /// Applies an update of `source` unless a newer one was already applied.
+    /// Entries that can't be read are filtered out and logged.
+    fn apply(&self, update: DirectoryUpdate, source: &str) {
         if let DirectoryUpdate::Confirmed(confirmed) = update {
             self.confirm(confirmed);
             return;
@@ -223,7 +242,7 @@
             update
         };
         match self.kind {
-            Kind::Configuration => apply_configuration(self.state, update),
+            Kind::Configuration => apply_configuration(self.state, update, source),
             Kind::Upstreams => apply_upstreams(self.state, update),
             Kind::Ledgers => apply_ledgers(self.state, update),
             Kind::Removals => {}
@@ -231,10 +250,10 @@
     }
 }
 
-fn apply_configuration<D: Deployment>(state: &State<D>, update: DirectoryUpdate) {
+fn apply_configuration<D: Deployment>(state: &State<D>, update: DirectoryUpdate, source: &str) {
     for entry in present_entries(update) {
         if let Ok(configuration) = state.deployment.configuration(&entry) {
-            state.configure(configuration);
+            state.configure(configuration, source);
         }
     }
 }
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -34,6 +34,8 @@
     pub(crate) has_body: bool,
     pub(crate) envelope: Envelope,
     pub(crate) route: Arc<Route>,
+    /// Version of the configuration that the route is from.
+    pub(crate) version: u64,
     pub(crate) service: Service,
     /// Account whose key the client presented; `None` on public routes without
     /// a valid key, and if the configuration has no accounts.
@@ -187,7 +189,7 @@
 ) -> ClientResponse<S> {
     let ms = job.started_at.elapsed().as_millis();
     let (id, kind, route) = (job.id(), job.route.kind.as_str(), &job.route.name);
-    let (rank, caller) = (job.rank(), job.caller());
+    let (rank, version, caller) = (job.rank(), job.version, job.caller());
     let result = match &answered {
         Ok(response) => response.status().as_str().to_owned(),
         Err(failure) => failure.code.as_str().to_owned(),
@@ -200,15 +202,15 @@
         Ok(response) => {
             let status = response.status().as_u16();
             log::info!(
-                "event=answered request={id} kind={kind} rank={rank} route={route} status={status} \
-                 ms={ms}{caller}"
+                "event=answered request={id} kind={kind} rank={rank} route={route} \
+                 version={version} status={status} ms={ms}{caller}"
             );
             response
         }
         Err(failure) => {
             log::warn!(
-                "event=failed request={id} kind={kind} rank={rank} route={route} ms={ms}{caller} \
-                 reason={failure}"
+                "event=failed request={id} kind={kind} rank={rank} route={route} \
+                 version={version} ms={ms}{caller} reason={failure}"
             );
             response::failure(&failure).map(Either::Left)
         }
@@ -252,6 +254,7 @@
         has_body,
         envelope,
         route,
+        version: table.version,
         service,
         account,
         has_accounts,
@@ -266,7 +269,10 @@
     let host = host.or(head.uri.host()).unwrap_or("");
     let host = host.rsplit_once(':').map_or(host, |(name, _port)| name).to_ascii_lowercase();
     let route = table.find(&host, head.uri.path()).cloned();
-    route.ok_or_else(|| Failure::unexecuted(Code::NotFound, "no route for this host and path"))
+    route.ok_or_else(|| {
+        let message = format!("no route for this host and path in version {}", table.version);
+        Failure::unexecuted(Code::NotFound, message)
+    })
 }
 
 /// Selects the service for the request; all turns of one conversation branch
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -105,8 +105,9 @@
         self.table.read().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
     }
 
-    /// Applies a configuration unless a newer one is already in use.
-    pub(crate) fn configure(&self, configuration: Configuration) {
+    /// Applies a configuration that came from `source`, unless a newer one is
+    /// already in use.
+    pub(crate) fn configure(&self, configuration: Configuration, source: &str) {
         let version = configuration.version;
         let routes = configuration.routes.len();
         let known = self.table().unwrap_or_default();
@@ -119,8 +120,12 @@
             }
             _ => {
                 *table = Some(new);
+                // The version was acknowledged after the last confirmation, so it
+                // is not later than this age.
+                let age = millis_text(self.configuration_age(Instant::now()));
                 log::info!(
-                    "event=configured version={version} routes={routes} accounts={accounts}"
+                    "event=configured version={version} routes={routes} accounts={accounts} \
+                     source={source} age_ms={age}"
                 );
             }
         }
@@ -195,6 +200,11 @@
     }
 }
 
+/// A duration in milliseconds for logs; `-` if it is unknown.
+pub(crate) fn millis_text(duration: Option<Duration>) -> String {
+    duration.map_or_else(|| "-".into(), |duration| duration.as_millis().to_string())
+}
+
 /// Locks a mutex; its state stays usable after a panic in another thread.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
--- a/crates/gg-ledger/src/poll.rs
+++ b/crates/gg-ledger/src/poll.rs
@@ -27,6 +27,8 @@
 /// Reply of one instance to a poll.
 #[derive(Clone, Debug)]
 pub struct PollReply {
+    /// The instance that replied.
+    pub instance: Name,
     /// When the poll was sent.
     pub sent_at: Instant,
     /// Directory updates.
@@ -87,7 +89,8 @@
                 })) => {
                     self.apply_crash_updates(&link, sent, &crashes);
                     let clients = polling_clients;
-                    Some(PollReply { sent_at, updates, clients, overload, limits, peers })
+                    let instance = link.member.instance.clone();
+                    Some(PollReply { instance, sent_at, updates, clients, overload, limits, peers })
                 }
                 _ => None,
             }
