Gateways compare the age of a copy with the bound before they use it

Cause: gateways use whatever copy they have. That it is recent follows from polls that run often, but nothing checks it when a request is handled, so that a gateway that did not run for a while (processor share used up, a stop of the process) first handles what arrived meanwhile, with the copy of before. The same for replicas: a request went to one that had begun to drain.

Now CopyGuard compares the age of the configuration, and of the list of replicas, with the deployment's bound less 2%, before a route is looked up and before a replica is chosen. An old copy waits for its confirmation (a poll, a few ms). If the directory was asked by the gateway itself and has not answered for 250 ms, the last known copy stays in use, as before: an outage must not end service. What is undecided after 500 ms is refused as not run.

Not shown to be what the users saw.

--- a/crates/gg-gateway/src/call.rs
+++ b/crates/gg-gateway/src/call.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     admit::{admit, record_delay},
+    copy_guard::CopyUse,
     crash, credit, pacing,
     permit::Permit,
     place::{place, select, untried},
@@ -83,6 +84,9 @@
 /// Places a hedged request, if the hedge budget and the replicas allow it.
 fn hedge<D: Deployment>(state: &State<D>, job: &Job, tried: &[UpstreamId]) -> Option<Placement> {
     crash::check(state, job).ok()?;
+    if state.replicas_guard.check() == CopyUse::Unconfirmed {
+        return None;
+    }
     let service = state.fleet.service(&job.service.name)?;
     // A replica that announces a limit gets no second copy of a request.
     let mut available = untried(&service, tried);
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -24,7 +24,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admit, permit,
+    admit,
+    copy_guard::CopyGuard,
+    permit,
     state::{State, lock, millis_text},
 };
 
@@ -173,7 +175,17 @@
         let apply = |update| self.apply_direct(update);
         let directory = &self.state.deployment;
         let (context, freshness) = (self.context, &self.freshness);
-        follow_unless_fresh(directory, self.kind, settings, context, freshness, apply).await;
+        let begin_asking = || self.guard().into_iter().for_each(CopyGuard::begin_asking);
+        follow_unless_fresh(
+            directory,
+            self.kind,
+            settings,
+            context,
+            freshness,
+            begin_asking,
+            apply,
+        )
+        .await;
     }
 
     /// Applies an update of a ledger instance, in reply to a poll of `sent_at`.
@@ -192,8 +204,17 @@
 
     /// Records that the entries in use hold all that was acknowledged then.
     fn confirm(&self, confirmed: Confirmed) {
-        if self.kind == Kind::Configuration {
-            self.state.confirm_configuration(confirmed);
+        if let Some(guard) = self.guard() {
+            guard.confirm(confirmed);
+        }
+    }
+
+    /// Guard of the copy, if requests are decided by entries of this kind.
+    fn guard(&self) -> Option<&CopyGuard> {
+        match self.kind {
+            Kind::Configuration => Some(&self.state.configuration_guard),
+            Kind::Upstreams => Some(&self.state.replicas_guard),
+            Kind::Ledgers | Kind::Removals => None,
         }
     }
 
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -15,7 +15,7 @@
 use tokio::{net::TcpListener, time};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{Revocation, connect::Connector, discovery, ingress, state::State};
+use crate::{connect::Connector, discovery, ingress, state::State};
 
 quick_error! {
     /// Why an instance could not run.
@@ -67,10 +67,9 @@
         settings.tunnels,
         metrics.clone(),
     );
-    let revocation = Revocation::new(settings.bounds.revocation);
     let rate = settings.accounts.rate;
     let centre = settings.centre.clone();
-    let state = State::new(deployment, centre, ledger, connector, revocation, rate, metrics);
+    let state = State::new(deployment, centre, ledger, connector, &settings.bounds, rate, metrics);
     let state = Arc::new(if settings.paces_replicas { state.with_replica_pace() } else { state });
     if let Some(address) = settings.metrics {
         let refresh = {
--- a/crates/gg-gateway/src/place.rs
+++ b/crates/gg-gateway/src/place.rs
@@ -66,6 +66,9 @@
     };
     let mut denied: Vec<Arc<Replica>> = Vec::new();
     loop {
+        if !state.replicas_guard.until_usable().await {
+            return Err(unplaced(refusal("the list of replicas may be out of date")));
+        }
         credit::renew(state, job).await.map_err(unplaced)?;
         // Similar requests may have crashed replicas while this one waited, or
         // while it was on a replica that then refused it.
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -225,13 +225,13 @@
     body: Incoming,
     started_at: Instant,
 ) -> Result<Job, Failure> {
+    if state.table().is_some() && !state.configuration_guard.until_usable().await {
+        return Err(unconfigured("the configuration may be out of date"));
+    }
+    // Determined before the table is taken, which is then at least as recent.
     let trusts_keys = state.trusts_keys();
     let Some(table) = state.table() else {
-        return Err(Failure::unexecuted(
-            Code::PlatformUnavailable,
-            "no configuration is known yet",
-        )
-        .retry_in(UNCONFIGURED_RETRY_MS));
+        return Err(unconfigured("no configuration is known yet"));
     };
     let envelope =
         envelope.map_err(|err| Failure::unexecuted(Code::BadRequest, err.to_string()))?;
@@ -264,6 +264,11 @@
     })
 }
 
+/// The refusal of a request that no configuration decides on yet.
+fn unconfigured(message: &str) -> Failure {
+    Failure::unexecuted(Code::PlatformUnavailable, message).retry_in(UNCONFIGURED_RETRY_MS)
+}
+
 fn find_route(table: &RouteTable, head: &Parts) -> Result<Arc<Route>, Failure> {
     let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or("");
--- a/crates/gg-gateway/src/revocation.rs
+++ b/crates/gg-gateway/src/revocation.rs
@@ -3,9 +3,7 @@
 
 use std::time::Duration;
 
-/// Part of the bound that is left for clocks that run at different speeds and
-/// for ages that were rounded on their way.
-const MARGIN_SHARE: f64 = 0.02;
+use gg_platform::age_limit;
 
 /// Bound on the age of a configuration whose keys are trusted.
 ///
@@ -28,7 +26,7 @@
 
     /// Largest age at which keys are trusted; `None` without a bound.
     pub fn age_max(&self) -> Option<Duration> {
-        self.bound.map(|bound| bound.mul_f64(1.0 - MARGIN_SHARE))
+        self.bound.map(age_limit)
     }
 
     /// Whether the keys of a copy of this age are trusted. A copy without a
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -12,13 +12,16 @@
 use gg_dispatch::{Admission, RetryBudget};
 use gg_ledger::Ledger;
 use gg_metrics::Metrics;
-use gg_platform::Confirmed;
-use gg_protocol::Name;
+use gg_platform::age_limit;
+use gg_protocol::{DirectoryBounds, Name};
 use gg_route::{Configuration, RouteTable};
 use gg_settings::RateSettings;
 use tokio_util::sync::CancellationToken;
 
-use crate::{BufferBudget, Fleet, Programs, Revocation, connect::Connector, credit::Credits};
+use crate::{
+    BufferBudget, Fleet, Programs, Revocation, connect::Connector, copy_guard::CopyGuard,
+    credit::Credits,
+};
 
 /// Hedged requests as a share of responses. Above this share slow responses are
 /// a sign of overload, and more requests would add to it.
@@ -54,8 +57,10 @@
     /// Whether the keys were trusted when that was last checked.
     pub(crate) has_trusted_keys: AtomicBool,
     table: RwLock<Option<Arc<RouteTable>>>,
-    /// Up to when the configuration in use is known to be the newest.
-    configuration_confirmed: Mutex<Option<Confirmed>>,
+    /// Guards the use of the configuration.
+    pub(crate) configuration_guard: CopyGuard,
+    /// Guards the use of the list of replicas.
+    pub(crate) replicas_guard: CopyGuard,
     is_stopping: AtomicBool,
     /// Cancelled when requests still in flight get their final answer, as the
     /// process is about to exit.
@@ -68,7 +73,7 @@
         centre: Name,
         ledger: Ledger,
         connector: Connector,
-        revocation: Revocation,
+        bounds: &DirectoryBounds,
         rate: Option<RateSettings>,
         metrics: Metrics,
     ) -> Self {
@@ -85,10 +90,11 @@
             admissions: Mutex::default(),
             programs: Mutex::default(),
             buffer_budget: BufferBudget::default(),
-            revocation,
+            revocation: Revocation::new(bounds.revocation),
             has_trusted_keys: AtomicBool::new(true),
             table: RwLock::default(),
-            configuration_confirmed: Mutex::default(),
+            configuration_guard: CopyGuard::new(age_limit(bounds.apply)),
+            replicas_guard: CopyGuard::new(age_limit(bounds.drain)),
             is_stopping: AtomicBool::new(false),
             last_call: CancellationToken::new(),
         }
@@ -131,16 +137,10 @@
         }
     }
 
-    /// Records that the configuration in use was the newest one.
-    pub(crate) fn confirm_configuration(&self, confirmed: Confirmed) {
-        let mut known = lock(&self.configuration_confirmed);
-        *known = known.max(Some(confirmed));
-    }
-
     /// Age of the configuration in use: every version that was acknowledged longer
     /// ago is in force here. `None` until it was confirmed once.
     pub(crate) fn configuration_age(&self, now: Instant) -> Option<Duration> {
-        lock(&self.configuration_confirmed).map(|confirmed| confirmed.age(now))
+        self.configuration_guard.age(now)
     }
 
     /// Number of gateways that share the replicas, including this one.
--- a/crates/gg-ledger/src/layout_controller.rs
+++ b/crates/gg-ledger/src/layout_controller.rs
@@ -159,6 +159,7 @@
             settings,
             &self.context,
             &source.freshness,
+            || {},
             apply_directory_update,
         )
         .await;
--- a/crates/gg-platform/src/copy_ages.rs
+++ b/crates/gg-platform/src/copy_ages.rs
@@ -32,6 +32,16 @@
 /// itself.
 pub const OWN_LIST_TIME: Duration = Duration::from_millis(500);
 
+/// Part of a bound that is left for clocks that run at different speeds and for
+/// ages that were rounded on their way.
+const MARGIN_SHARE: f64 = 0.02;
+
+/// Age below which a copy keeps `bound`. Whoever acts later than the bound after an
+/// acknowledgement then finds what was acknowledged in the copy.
+pub fn age_limit(bound: Duration) -> Duration {
+    bound.mul_f64(1.0 - MARGIN_SHARE)
+}
+
 /// Shortest interval between checks, whatever the bounds.
 const CHECK_INTERVAL_MIN: Duration = Duration::from_millis(250);
 
--- a/tests/old_versions.rs
+++ b/tests/old_versions.rs
@@ -1,5 +1,4 @@
-//! Versions of the configuration that are acknowledged while a gateway process does
-//! not run.
+//! Changes that are acknowledged while a gateway process does not run.
 
 #[path = "../platform/tests/support/mod.rs"]
 mod support;
@@ -61,6 +60,19 @@
     Ok((answered == (200, true)).then_some(socket))
 }
 
+/// Opens connections on which calls are served.
+async fn open_all(address: SocketAddr) -> Vec<TcpStream> {
+    eventually("the gateway serves calls", async || {
+        open(address).await.is_ok_and(|socket| socket.is_some())
+    })
+    .await;
+    let mut sockets = Vec::new();
+    while sockets.len() < REQUESTS {
+        sockets.extend(open(address).await.expect("response"));
+    }
+    sockets
+}
+
 /// A gateway that did not run for longer than the bound handles the requests that
 /// arrived meanwhile with the versions that were acknowledged meanwhile.
 #[tokio::test]
@@ -70,14 +82,7 @@
     let bound = DirectoryBounds::default().apply;
     for stop in 1..=STOPS {
         let added = format!("added{stop}");
-        eventually("the gateway serves calls", async || {
-            open(address).await.is_ok_and(|socket| socket.is_some())
-        })
-        .await;
-        let mut sockets = Vec::new();
-        while sockets.len() < REQUESTS {
-            sockets.extend(open(address).await.expect("response"));
-        }
+        let mut sockets = open_all(address).await;
         gateway.signal(libc::SIGSTOP);
         processes.store.put("config", "main", configuration(stop + 1, &["call", &added]));
         time::sleep(bound + STOP_MARGIN).await;
@@ -92,3 +97,33 @@
         }
     }
 }
+
+/// The same for a replica that began to drain meanwhile.
+#[tokio::test]
+async fn drained_replica_after_stall() {
+    let processes = Processes::start(1, STOPS as usize + 1).await;
+    let (gateway, address) = (processes.servers.last().expect("a gateway"), processes.clients[0]);
+    let bound = DirectoryBounds::default().drain;
+    for (stop, draining) in (0..STOPS).zip(&processes.replicas) {
+        eventually("the replica is used", async || {
+            let runs = draining.runs().len();
+            let _ = open(address).await;
+            draining.runs().len() > runs
+        })
+        .await;
+        let mut sockets = open_all(address).await;
+        gateway.signal(libc::SIGSTOP);
+        processes.store.put("servers", &draining.name, draining.entry("app", "draining"));
+        time::sleep(bound + STOP_MARGIN).await;
+        for (number, socket) in sockets.iter_mut().enumerate() {
+            let id = format!("drained-{stop}-{number}");
+            send(socket, "/call/x", &id).await.expect("send a request");
+        }
+        gateway.signal(libc::SIGCONT);
+        for socket in &mut sockets {
+            response(socket).await.expect("response");
+        }
+        let late = draining.runs().iter().any(|run| run.id.starts_with(&format!("drained-{stop}")));
+        assert!(!late, "stop {stop}");
+    }
+}
