A copy stops counting as current before the shortest bound ends

What callers may see: versions late at all gateways at once while the directory is silent for those that follow it. Cause: a copy counted as current up to recovery bound - 500 ms, which is above the bounds of configuration and drain on all deployments (2.5 against 2.0 s, 3.5 against 3.0 s), and the regular age (check interval + delivery) was exactly those bounds: no margin.

Now the age follows from the shortest bound, less 500 ms in which an instance lists the directory itself; gateways spread that list over the first 250 ms. Checks come early enough that copies stay below it (0.6 and 1.6 s instead of 0.95 and 1.95 s), and mirrors poll each 150 ms instead of 300, so that delivery takes 900 ms instead of 1,050.

lost_answer_is_noticed: its changes now come between two checks. With the new interval 3 s falls on a check, whose answer is lost too: two lost answers, which the test does not mean.

--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -16,7 +16,8 @@
 use gg_ledger::{EntryFilter, LAYOUT_NAME, Registration};
 use gg_platform::{
     Change, Confirmed, CopyAges, DirectoryUpdate, Entry, FRESH_TIME, FollowContext, FollowSettings,
-    Freshness, Kind, MirrorUpdate, POLL_INTERVAL, POLL_SLOWDOWN, follow_unless_fresh,
+    Freshness, Kind, MirrorUpdate, OWN_LIST_SPREAD, POLL_INTERVAL, POLL_SLOWDOWN,
+    follow_unless_fresh,
 };
 use gg_route::Deployment;
 use rand::Rng;
@@ -86,11 +87,13 @@
         false => Duration::ZERO,
     };
     let context = FollowContext::default();
+    // Copies of many gateways grow old together when their sources do.
+    let fresh_age = ages.current + OWN_LIST_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
     let kinds = KINDS.map(|kind| FollowedKind {
         state: &state,
         kind,
         revision: Mutex::default(),
-        freshness: Mutex::new(Freshness::new(ages.current)),
+        freshness: Mutex::new(Freshness::new(fresh_age)),
         filter: Mutex::new(EntryFilter::new(kind)),
         context: &context,
         ages,
--- a/crates/gg-ledger/src/layout_controller.rs
+++ b/crates/gg-ledger/src/layout_controller.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use gg_platform::{
-    Confirmed, CopyAges, DirectoryUpdate, FollowContext, FollowSettings, Kind, MirrorUpdate,
-    POLL_INTERVAL, PlatformError, follow_unless_fresh,
+    Confirmed, CopyAges, DirectoryUpdate, FollowContext, FollowSettings, Kind, MIRROR_INTERVAL,
+    MirrorUpdate, PlatformError, follow_unless_fresh,
 };
 use gg_protocol::Name;
 use gg_route::Deployment;
@@ -170,7 +170,7 @@
     async fn poll_watchers(&self) {
         loop {
             let has_all_kinds = self.sources.iter().all(|source| source.revision() > 0);
-            time::sleep(if has_all_kinds { POLL_INTERVAL } else { STARTUP_POLL_INTERVAL }).await;
+            time::sleep(if has_all_kinds { MIRROR_INTERVAL } else { STARTUP_POLL_INTERVAL }).await;
             let revisions: Vec<(Kind, u64)> =
                 self.sources.iter().map(|source| (source.kind, source.revision())).collect();
             let calls = self.poll_targets().into_iter().map(async |link| {
--- a/crates/gg-platform/src/copy_ages.rs
+++ b/crates/gg-platform/src/copy_ages.rs
@@ -6,10 +6,13 @@
 
 use gg_protocol::DirectoryBounds;
 
-/// Interval at which instances that don't follow the directory poll those that
-/// do, and at which gateways poll ledger instances.
+/// Interval at which gateways poll ledger instances.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Interval at which ledger instances that don't follow the directory poll those
+/// that do.
+pub const MIRROR_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Factor by which the interval grows with many gateways.
 pub const POLL_SLOWDOWN: u32 = 2;
 
@@ -23,15 +26,20 @@
 /// the call, a poll by a ledger instance that doesn't follow the directory, and a
 /// poll by a gateway.
 pub const DELIVERY_TIME: Duration = CALL_TIME
-    .saturating_add(POLL_INTERVAL)
+    .saturating_add(MIRROR_INTERVAL)
     .saturating_add(EXCHANGE_TIME)
     .saturating_add(POLL_INTERVAL.saturating_mul(POLL_SLOWDOWN))
     .saturating_add(EXCHANGE_TIME);
 
-/// Time in which an instance whose sources are out of date lists the directory
-/// itself.
+/// Time between the age from which on a copy no longer counts as current and the
+/// shortest bound. In it, an instance whose sources are out of date lists the
+/// directory itself.
 pub const OWN_LIST_TIME: Duration = Duration::from_millis(500);
 
+/// Part of [`OWN_LIST_TIME`] over which gateways whose copies grow old together
+/// spread their lists.
+pub const OWN_LIST_SPREAD: Duration = Duration::from_millis(250);
+
 /// Part of a bound that is left for clocks that run at different speeds and for
 /// ages that were rounded on their way.
 const MARGIN_SHARE: f64 = 0.02;
@@ -63,10 +71,9 @@
     /// Ages with which the bounds are kept.
     pub fn new(bounds: &DirectoryBounds) -> Self {
         let refused = bounds.revocation.unwrap_or(Duration::MAX);
-        let current = bounds.recovery.min(refused).saturating_sub(OWN_LIST_TIME);
-        let change = bounds.apply.min(bounds.drain);
-        let check_interval =
-            current.min(change).saturating_sub(DELIVERY_TIME).max(CHECK_INTERVAL_MIN);
+        let shortest = bounds.apply.min(bounds.drain).min(bounds.recovery).min(refused);
+        let current = shortest.saturating_sub(OWN_LIST_TIME);
+        let check_interval = current.saturating_sub(DELIVERY_TIME).max(CHECK_INTERVAL_MIN);
         let longest = bounds.revocation.map_or(Duration::MAX, |_| STRICT_CHECK_INTERVAL);
         CopyAges { check_interval: check_interval.min(longest), current }
     }
--- a/crates/gg-platform/src/lib.rs
+++ b/crates/gg-platform/src/lib.rs
@@ -18,7 +18,8 @@
 pub use client::{Platform, PlatformSettings};
 pub use confirmed::Confirmed;
 pub use copy_ages::{
-    CopyAges, DELIVERY_TIME, OWN_LIST_TIME, POLL_INTERVAL, POLL_SLOWDOWN, age_limit,
+    CopyAges, DELIVERY_TIME, MIRROR_INTERVAL, OWN_LIST_SPREAD, OWN_LIST_TIME, POLL_INTERVAL,
+    POLL_SLOWDOWN, age_limit,
 };
 pub use directory::{Change, Directory, Entry, Kind, Snapshot, UNREADABLE_BODY, Watched};
 pub use error::PlatformError;
--- a/crates/gg-platform/tests/lost_answers.rs
+++ b/crates/gg-platform/tests/lost_answers.rs
@@ -190,7 +190,7 @@
 }
 
 /// A change whose answer is lost is seen with the next check, whatever its kind and
-/// whenever it comes.
+/// whenever it comes between two checks.
 #[tokio::test(start_paused = true)]
 async fn lost_answer_is_noticed() {
     let interval = CopyAges::default().check_interval;
@@ -198,8 +198,8 @@
         for moment in 0..10 {
             let directory = LossyDirectory::default();
             let script = async {
-                time::sleep(Duration::from_secs(3) + interval.mul_f64(f64::from(moment) / 10.0))
-                    .await;
+                let part = (f64::from(moment) + 0.5) / 10.0;
+                time::sleep(interval.mul_f64(5.0 + part)).await;
                 directory.change_unseen(kind);
                 let changed_at = Instant::now();
                 time::sleep(WATCHED_TIME).await;
@@ -309,6 +309,7 @@
         assert!(CALL_TIMEOUT + retry + DELIVERY_TIME <= recovery, "a call without an answer");
         let list = gg_platform::OWN_LIST_TIME;
         assert!(ages.current + list <= recovery, "a silent source");
+        assert!(ages.current + list <= change, "a silent source beside a change");
         if let Some(revocation) = revocation {
             assert!(ages.current + list <= revocation, "a silent source with withdrawn keys");
             assert!(ages.check_interval <= Duration::from_secs(1));
