Old copies stay in use while nobody confirms them

Cause: that the gateway asks the directory was forgotten with each repeated confirmation of an old moment, and noted again only when the next following began.

Now the gateway notices by its own clock that the copy grows old, when it looks at it (at each poll and request), and takes a copy that nobody has confirmed for 250 ms of running time as one of an outage. It begins to doubt 250 ms before the limit, so that requests don't wait when the limit is reached. After a stall the age is noticed only on waking, so that requests wait for the poll, as intended.

Test: outage_refuses_nothing failed before (503 after 1.4 s), silent and busy store.

--- a/crates/gg-gateway/src/copy_guard.rs
+++ b/crates/gg-gateway/src/copy_guard.rs
@@ -11,12 +11,11 @@
 
 use crate::state::lock;
 
-/// Time after which the directory counts as unreachable if this gateway asked it
-/// and has no answer. A call takes a few ms.
+/// Time in which a running gateway confirms its copy if it can: polls of the ledger
+/// instances and calls to the directory take a few ms.
 pub const ANSWER_TIME: Duration = Duration::from_millis(250);
 
-/// Longest time that a request waits until its copy is confirmed: a poll of the
-/// ledger instances, or [`ANSWER_TIME`] and the delay until the directory is asked.
+/// Longest time that a request waits until its copy is confirmed.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Whether a copy may be used.
@@ -31,16 +30,23 @@
     Unconfirmed,
 }
 
-/// Decides on a copy that may be used up to the age `limit`. `asked` is the time
-/// since the gateway began to ask the directory itself, if no answer has come.
-pub fn copy_use(limit: Duration, age: Option<Duration>, asked: Option<Duration>) -> CopyUse {
-    match (age, asked) {
-        (Some(age), _) if age < limit => CopyUse::Recent,
-        (_, Some(asked)) if asked >= ANSWER_TIME => CopyUse::Outage,
+/// Decides on a copy that may be used up to the age `limit`. `noticed` is the time
+/// since the gateway noticed that the copy grows old: not before it runs again after
+/// a stall.
+pub fn copy_use(limit: Duration, age: Option<Duration>, noticed: Duration) -> CopyUse {
+    match age {
+        Some(age) if age < limit => CopyUse::Recent,
+        _ if noticed >= ANSWER_TIME => CopyUse::Outage,
         _ => CopyUse::Unconfirmed,
     }
 }
 
+/// Whether a copy is so close to the age `limit` that the gateway begins to doubt
+/// it. An outage is then certain by the time that the copy reaches the limit.
+pub fn is_doubtful(limit: Duration, age: Option<Duration>) -> bool {
+    age.is_none_or(|age| age + ANSWER_TIME >= limit)
+}
+
 /// Guards the use of the copy of one kind of entries.
 #[derive(Debug)]
 pub(crate) struct CopyGuard {
@@ -53,8 +59,8 @@
 struct CopyState {
     /// Up to when the copy is known to be the newest.
     confirmed: Option<Confirmed>,
-    /// Since when the directory is asked without an answer.
-    asked_at: Option<Instant>,
+    /// When the gateway noticed that the copy grows old.
+    doubtful_since: Option<Instant>,
 }
 
 impl CopyGuard {
@@ -67,16 +73,8 @@
     pub(crate) fn confirm(&self, confirmed: Confirmed) {
         let mut state = lock(&self.state);
         state.confirmed = state.confirmed.max(Some(confirmed));
-        let age = state.confirmed.map(|confirmed| confirmed.age(Instant::now()));
-        if age.is_some_and(|age| age < self.limit) {
-            state.asked_at = None;
-            self.changed.notify_waiters();
-        }
-    }
-
-    /// Records that the gateway begins to ask the directory itself.
-    pub(crate) fn begin_asking(&self) {
-        lock(&self.state).asked_at.get_or_insert_with(Instant::now);
+        drop(state);
+        self.changed.notify_waiters();
     }
 
     /// Age of the copy: all that was acknowledged longer ago is in it. `None` until
@@ -85,11 +83,18 @@
         lock(&self.state).confirmed.map(|confirmed| confirmed.age(now))
     }
 
-    /// Whether the copy may be used now.
+    /// Whether the copy may be used now. Called regularly, so that an outage is
+    /// noticed before a request comes.
     pub(crate) fn check(&self) -> CopyUse {
-        let (state, now) = (*lock(&self.state), Instant::now());
+        let now = Instant::now();
+        let mut state = lock(&self.state);
         let age = state.confirmed.map(|confirmed| confirmed.age(now));
-        copy_use(self.limit, age, state.asked_at.map(|at| now.saturating_duration_since(at)))
+        if !is_doubtful(self.limit, age) {
+            state.doubtful_since = None;
+            return CopyUse::Recent;
+        }
+        let noticed_at = *state.doubtful_since.get_or_insert(now);
+        copy_use(self.limit, age, now.saturating_duration_since(noticed_at))
     }
 
     /// Waits until the copy may be used. Returns `false` if that is still unknown
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -144,6 +144,8 @@
             () = state.connector.peers_wanted() => {}
         }
         record_stall(state, due);
+        state.configuration_guard.check();
+        state.replicas_guard.check();
     }
 }
 
@@ -178,17 +180,7 @@
         let apply = |update| self.apply_direct(update);
         let directory = &self.state.deployment;
         let (context, freshness) = (self.context, &self.freshness);
-        let begin_asking = || self.guard().into_iter().for_each(CopyGuard::begin_asking);
-        follow_unless_fresh(
-            directory,
-            self.kind,
-            settings,
-            context,
-            freshness,
-            begin_asking,
-            apply,
-        )
-        .await;
+        follow_unless_fresh(directory, self.kind, settings, context, freshness, apply).await;
     }
 
     /// Applies an update of a ledger instance, in reply to a poll of `sent_at`.
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -49,7 +49,7 @@
 pub use admit::STREAM_LATE_SHARE;
 pub use buffer_budget::{BufferBudget, Reservation};
 pub use choice::{Candidate, Choice, ChoiceSettings, choose};
-pub use copy_guard::{ANSWER_TIME, CopyUse, copy_use};
+pub use copy_guard::{ANSWER_TIME, CopyUse, copy_use, is_doubtful};
 pub use departures::Departures;
 pub use events::{EventCount, EventSplitter, Repeated};
 pub use fleet::Fleet;
--- a/crates/gg-ledger/src/layout_controller.rs
+++ b/crates/gg-ledger/src/layout_controller.rs
@@ -159,7 +159,6 @@
             settings,
             &self.context,
             &source.freshness,
-            || {},
             apply_directory_update,
         )
         .await;
--- a/crates/gg-platform/src/follow.rs
+++ b/crates/gg-platform/src/follow.rs
@@ -202,14 +202,13 @@
 }
 
 /// Follows `kind` while no other source reports up-to-date entries, until the
-/// future is dropped. Calls `on_start` each time that it begins.
+/// future is dropped.
 pub async fn follow_unless_fresh<D: Directory>(
     directory: &D,
     kind: Kind,
     settings: FollowSettings,
     context: &FollowContext,
     freshness: &Mutex<Freshness>,
-    mut on_start: impl FnMut(),
     mut on_update: impl FnMut(DirectoryUpdate),
 ) {
     let remaining = || freshness.lock().unwrap_or_else(PoisonError::into_inner).remaining(now());
@@ -222,7 +221,6 @@
             time::sleep(remaining).await;
         }
         log::info!("event=directory_followed kind={}", kind.as_str());
-        on_start();
         let until_fresh = async {
             while remaining().is_zero() {
                 time::sleep(FRESH_TIME / 2).await;
