One call of a process finds the end of an outage

Cause: while the store is busy for 6.7 s, every follower of every kind in every process repeats its list each half second, and all list anew when it is back; ledger instances notice an outage sooner than before ages were checked, so gateways follow too. A check whose answer is lost also dropped the working watches and had all kinds listed anew.

- In an outage the followers of a process share one check with one retry delay, and list once it is answered.
- Gateways check before their first list of configuration and replicas, wait 1 s between checks, and leave the ledger instances 300 ms to report before they list.
They look each 150 ms whether they may stop following.
- A check that fails is repeated once before the watch is given up.

--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -52,6 +52,14 @@
 /// registered, and one call finds them.
 const FOUNDING_DELAY: Duration = Duration::from_millis(600);
 
+/// Delays before a gateway asks the directory again that does not respond. The
+/// ledger instances ask more often, and tell the gateways when it is back.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Time that the ledger instances have to report up-to-date entries once a gateway
+/// finds that the directory responds again.
+const RELIST_DELAY: Duration = Duration::from_millis(300);
+
 /// Interval between checks for missing replicas whose entries did not return.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -171,12 +179,21 @@
 impl<D: Deployment> FollowedKind<'_, D> {
     /// Follows the directory itself while no ledger instance is up to date.
     async fn follow_directly(&self, delay: Duration) {
+        let checks_first = self.kind != Kind::Ledgers;
         time::sleep(delay).await;
         // Once the ledger instances are listed, they soon report updates, and
         // the directory need not be watched.
         let watch_delay = if self.kind == Kind::Ledgers { FRESH_TIME } else { Duration::ZERO };
         let check_interval = self.ages.check_interval;
-        let settings = FollowSettings { watch_delay, check_interval, ..FollowSettings::default() };
+        let settings = FollowSettings {
+            watch_delay,
+            check_interval,
+            checks_first,
+            retry_delay: RETRY_DELAY,
+            retry_max: RETRY_DELAY,
+            relist_delay: RELIST_DELAY,
+            ..FollowSettings::default()
+        };
         let apply = |update| self.apply_direct(update);
         let directory = &self.state.deployment;
         let (context, freshness) = (self.context, &self.freshness);
--- a/crates/gg-platform/src/follow.rs
+++ b/crates/gg-platform/src/follow.rs
@@ -10,8 +10,8 @@
 use tokio::time;
 
 use crate::{
-    Change, Confirmed, CopyAges, Directory, Entry, FRESH_TIME, Freshness, Kind, PlatformError,
-    Watched, outages::Outages, revision_check::RevisionCheck,
+    Change, Confirmed, CopyAges, Directory, Entry, Freshness, Kind, PlatformError, Watched,
+    outages::Outages, revision_check::RevisionCheck,
 };
 
 /// Intervals and delays used while following a kind.
@@ -36,6 +36,12 @@
     /// Maximum delay before a retry, which bounds the time until a recovered
     /// directory is noticed.
     pub retry_max: Duration,
+    /// Whether a check comes before the first list too. In an outage, the followers
+    /// of a process then make one call in place of a list each.
+    pub checks_first: bool,
+    /// Delay between the check that finds an outage ended and the list, in which
+    /// other sources may report up-to-date entries.
+    pub relist_delay: Duration,
 }
 
 impl Default for FollowSettings {
@@ -47,6 +53,8 @@
             watch_delay: Duration::ZERO,
             retry_delay: Duration::from_millis(50),
             retry_max: Duration::from_millis(500),
+            checks_first: false,
+            relist_delay: Duration::ZERO,
         }
     }
 }
@@ -64,6 +72,10 @@
     Lost(PlatformError),
 }
 
+/// Interval at which a follower looks whether other sources have become up to date
+/// again.
+const FRESH_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
 /// What the followers of all kinds in a process share.
 #[derive(Debug, Default)]
 pub struct FollowContext {
@@ -97,6 +109,14 @@
     let mut retry_delay = settings.retry_delay;
     let mut position: Option<Position> = None;
     loop {
+        let needs_check = settings.checks_first || context.outages.is_out();
+        if position.is_none()
+            && needs_check
+            && let Err(err) = until_reachable(directory, &settings, context).await
+        {
+            on_update(DirectoryUpdate::Lost(err));
+            continue;
+        }
         let revision = position.map(|position| position.revision);
         let sent_at = now();
         let called = tokio::select! {
@@ -142,6 +162,23 @@
     }
 }
 
+/// Makes one call for all followers of the process; fails if the directory doesn't
+/// respond.
+async fn until_reachable<D: Directory>(
+    directory: &D,
+    settings: &FollowSettings,
+    context: &FollowContext,
+) -> Result<(), PlatformError> {
+    let checked = context.check.revision(directory, settings.check_interval / 2, settings).await;
+    let was_out = context.outages.is_out();
+    context.outages.record(!matches!(checked, Err(PlatformError::Unavailable(_))));
+    checked?;
+    if was_out {
+        time::sleep(settings.relist_delay).await;
+    }
+    Ok(())
+}
+
 impl Position {
     /// Keeps what a check has moved on beside the watch.
     fn or_later(self, other: Option<Position>) -> Position {
@@ -154,8 +191,8 @@
 }
 
 /// Checks at intervals that a watch has missed nothing, and resolves with what it
-/// has missed: its answer is lost, or late. Never resolves before the entries are
-/// listed.
+/// has missed: its answer is lost, or late. A check that fails is repeated once,
+/// since its own answer may be lost. Never resolves before the entries are listed.
 async fn missed_changes<D: Directory>(
     directory: &D,
     kind: Kind,
@@ -166,10 +203,18 @@
 ) -> Result<(Instant, Called), PlatformError> {
     let Some(position) = position else { return std::future::pending().await };
     let interval = settings.check_interval;
+    let mut has_failed = false;
     loop {
         time::sleep_until((position.sent_at + interval).into()).await;
         // The checks of the kinds fall due at about the same time.
-        let (revision, sent_at) = context.check.revision(directory, interval / 2).await?;
+        let checked = context.check.revision(directory, interval / 2, &settings).await;
+        if let (Err(err), false) = (&checked, has_failed) {
+            log::info!("event=check_failed kind={} error={err}", kind.as_str());
+            has_failed = true;
+            continue;
+        }
+        let (revision, sent_at) = checked?;
+        has_failed = false;
         context.outages.record(true);
         if revision > position.revision {
             // The change may be one of another kind.
@@ -223,7 +268,7 @@
         log::info!("event=directory_followed kind={}", kind.as_str());
         let until_fresh = async {
             while remaining().is_zero() {
-                time::sleep(FRESH_TIME / 2).await;
+                time::sleep(FRESH_CHECK_INTERVAL).await;
             }
         };
         tokio::select! {
--- a/crates/gg-platform/src/outages.rs
+++ b/crates/gg-platform/src/outages.rs
@@ -34,6 +34,11 @@
         });
     }
 
+    /// Whether the last call had no response.
+    pub(crate) fn is_out(&self) -> bool {
+        self.state.borrow().is_out
+    }
+
     /// Resolves when the next outage ends.
     pub(crate) async fn next_end(&self) {
         let mut state = self.state.subscribe();
--- a/crates/gg-platform/tests/lost_answers.rs
+++ b/crates/gg-platform/tests/lost_answers.rs
@@ -44,7 +44,11 @@
     /// Watches that began earlier lose their answers.
     lost_before: Option<Instant>,
     is_silent: bool,
+    /// Calls are refused at once.
+    is_busy: bool,
     calls: u32,
+    /// Lists of the kinds that have entries, which checks don't read.
+    lists: u32,
 }
 
 impl LossyDirectory {
@@ -71,6 +75,9 @@
     /// `wait` and the timeout.
     async fn answer(&self, began_at: Instant, wait: Duration) -> Result<(), PlatformError> {
         time::sleep(CALL_TIME).await;
+        if self.lock().is_busy {
+            return Err(PlatformError::Unavailable("status 503".into()));
+        }
         let is_lost = {
             let state = self.lock();
             state.is_silent || state.lost_before.is_some_and(|before| began_at <= before)
@@ -92,7 +99,11 @@
 
 impl Directory for LossyDirectory {
     async fn snapshot(&self, kind: Kind) -> Result<Snapshot, PlatformError> {
-        self.lock().calls += 1;
+        {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.lists += u32::from(kind != Kind::Removals);
+        }
         self.answer(Instant::now(), Duration::ZERO).await?;
         let state = self.lock();
         Ok(Snapshot { revision: state.revision, entries: state.entry(kind).into_iter().collect() })
@@ -267,6 +278,45 @@
     }
 }
 
+/// A check without an answer is repeated; the watches stay open, and nothing is
+/// listed anew.
+#[tokio::test(start_paused = true)]
+async fn lost_check_keeps_watches() {
+    let interval = CopyAges::default().check_interval;
+    let directory = LossyDirectory::default();
+    let script = async {
+        time::sleep(interval.mul_f64(4.5)).await;
+        let lists = directory.lock().lists;
+        directory.lock().is_silent = true;
+        time::sleep(interval).await;
+        directory.lock().is_silent = false;
+        time::sleep(WATCHED_TIME).await;
+        directory.lock().lists - lists
+    };
+    let (lists, _) = run(&directory, script).await;
+    assert_eq!(lists, 0);
+}
+
+/// While the directory refuses all calls, the followers of a process together make
+/// one call for each retry delay.
+#[tokio::test(start_paused = true)]
+async fn outage_calls_are_shared() {
+    const OUTAGE: Duration = Duration::from_secs(20);
+    let directory = LossyDirectory::default();
+    let script = async {
+        time::sleep(Duration::from_secs(3)).await;
+        let calls = directory.lock().calls;
+        directory.lock().is_busy = true;
+        time::sleep(OUTAGE).await;
+        directory.lock().calls - calls
+    };
+    let (calls, _) = run(&directory, script).await;
+    let settings = FollowSettings::default();
+    // Delays are half of the setting at least; they begin shorter.
+    let delays = OUTAGE.div_duration_f64(settings.retry_max / 2).ceil() as u32;
+    assert!(calls <= delays + 8, "{calls}");
+}
+
 /// Changes of one kind leave the others confirmed.
 #[tokio::test(start_paused = true)]
 async fn other_kinds_stay_confirmed() {
