Logs tell why a replica is dropped or kept, and when it is sent to late

`replica_missing` came again with each list although nothing new was decided.

- `replica_gone` has the reason, `replica_missing` the time for which the replica stays in use; both have the source and the age of the copy before.
- `replica_missing` is logged once for each replica.
- `sent_late` is logged when a request waited 250 ms or more for a connection to its replica, and whether the replica is still in use.

No decision is changed.

--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -27,6 +27,7 @@
 use crate::{
     admit,
     copy_guard::CopyGuard,
+    fleet::Origin,
     permit,
     state::{State, lock, millis_text},
 };
@@ -276,7 +277,7 @@
         };
         match self.kind {
             Kind::Configuration => apply_configuration(self.state, update, source),
-            Kind::Upstreams => apply_upstreams(self.state, update),
+            Kind::Upstreams => apply_upstreams(self.state, update, source),
             Kind::Ledgers => apply_ledgers(self.state, update),
             Kind::Removals => {}
         }
@@ -291,16 +292,17 @@
     }
 }
 
-fn apply_upstreams<D: Deployment>(state: &State<D>, update: DirectoryUpdate) {
+fn apply_upstreams<D: Deployment>(state: &State<D>, update: DirectoryUpdate, source: &str) {
+    let origin = Origin { source, age: state.replicas_guard.age(Instant::now()) };
     let read = |entry: &Entry| state.deployment.upstream(entry).ok();
     match update {
         DirectoryUpdate::Snapshot(_, entries) => {
-            state.fleet.replace(entries.iter().filter_map(read).collect());
+            state.fleet.replace(entries.iter().filter_map(read).collect(), &origin);
         }
         DirectoryUpdate::Changes(_, changes) => {
             for change in changes {
                 match change {
-                    Change::Removed(name) => state.fleet.remove(&name),
+                    Change::Removed(name) => state.fleet.remove(&name, &origin),
                     Change::Put(entry) => {
                         if let Some(upstream) = read(&entry) {
                             state.fleet.put(upstream);
--- a/crates/gg-gateway/src/fleet.rs
+++ b/crates/gg-gateway/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    fmt,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -15,7 +16,7 @@
     Departures,
     pool::Connection,
     replica::{Replica, ServiceLoad, Start},
-    state::lock,
+    state::{lock, millis_text},
 };
 
 /// Entries that expired during a directory outage return within this time after
@@ -26,6 +27,22 @@
 /// the first one: the gateway or the whole deployment has just started.
 const FIRST_LIST_TIME: Duration = Duration::from_secs(5);
 
+/// Where an update of the replicas comes from.
+#[derive(Clone, Copy, Debug)]
+pub struct Origin<'a> {
+    /// Ledger instance, or the directory itself.
+    pub source: &'a str,
+    /// Age of the copy in use before the update: what it changes was acknowledged
+    /// later. `None` if the copy was never confirmed.
+    pub age: Option<Duration>,
+}
+
+impl fmt::Display for Origin<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "source={} age_ms={}", self.source, millis_text(self.age))
+    }
+}
+
 /// Replicas by service.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -64,7 +81,7 @@
     }
 
     /// Sets the complete list of replicas; all others are removed.
-    pub fn replace(&self, upstreams: Vec<Upstream>) {
+    pub fn replace(&self, upstreams: Vec<Upstream>, origin: &Origin<'_>) {
         let mut state = lock(&self.state);
         let present: Vec<Name> =
             upstreams.iter().map(|upstream| upstream.id.name.clone()).collect();
@@ -72,7 +89,7 @@
         upstreams.into_iter().for_each(|upstream| state.put(upstream, centre));
         let removed: Vec<Name> =
             state.replicas.keys().filter(|name| !present.contains(name)).cloned().collect();
-        removed.iter().for_each(|name| state.remove(name));
+        removed.iter().for_each(|name| state.remove(name, origin));
     }
 
     /// Adds or updates one replica.
@@ -81,8 +98,8 @@
     }
 
     /// Removes a replica whose entry was removed from the directory.
-    pub fn remove(&self, name: &str) {
-        lock(&self.state).remove(name);
+    pub fn remove(&self, name: &str, origin: &Origin<'_>) {
+        lock(&self.state).remove(name, origin);
     }
 
     /// Records that the directory does not respond.
@@ -97,7 +114,7 @@
         let mut state = lock(&self.state);
         let expired = state.missing.iter().filter(|(_, since)| since.elapsed() >= LAPSE_GRACE);
         let expired: Vec<Name> = expired.map(|(name, _)| name.clone()).collect();
-        expired.iter().for_each(|name| state.drop_entry(name));
+        expired.iter().for_each(|name| state.drop_entry(name, "reason=expired"));
     }
 
     /// The replicas of a service.
@@ -168,7 +185,7 @@
                 }
                 return;
             }
-            self.drop_entry(&name);
+            self.drop_entry(&name, "reason=replaced");
         }
         log::info!(
             "event=replica_listed replica={name} address={} centre={} state={:?}",
@@ -198,23 +215,26 @@
         })
     }
 
-    fn remove(&mut self, name: &str) {
+    fn remove(&mut self, name: &str, origin: &Origin<'_>) {
         let lapsed = self.lost_at.is_some_and(|at| at.elapsed() < LAPSE_GRACE);
         match self.replicas.get_key_value(name) {
             None => {}
             Some((name, _)) if lapsed => {
-                log::info!("event=replica_missing replica={name}");
-                let name = name.clone();
-                self.missing.entry(name).or_insert_with(Instant::now);
+                if !self.missing.contains_key(name) {
+                    let kept_ms = LAPSE_GRACE.as_millis();
+                    log::info!("event=replica_missing replica={name} {origin} kept_ms={kept_ms}");
+                    self.missing.insert(name.clone(), Instant::now());
+                }
             }
-            Some(_) => self.drop_entry(name),
+            Some(_) => self.drop_entry(name, &format!("reason=removed {origin}")),
         }
     }
 
-    fn drop_entry(&mut self, name: &str) {
+    /// Drops a replica; `details` say why in the log.
+    fn drop_entry(&mut self, name: &str, details: &str) {
         self.missing.remove(name);
         let Some(replica) = self.replicas.shift_remove(name) else { return };
-        log::info!("event=replica_gone replica={name}");
+        log::info!("event=replica_gone replica={name} {details}");
         self.departures.record(&replica.upstream, Instant::now());
         replica.set_draining();
         if let Some(service) = self.services.get_mut(&replica.upstream.service) {
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -30,6 +30,10 @@
 /// opened.
 const REUSE_ATTEMPTS_MAX: u32 = 2;
 
+/// Wait for a connection from which on the send is logged as late. What is known of
+/// the replica may have changed in it.
+const LATE_SEND_MIN: Duration = Duration::from_millis(250);
+
 /// Largest response that is read completely, in bytes.
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
 
@@ -380,6 +384,16 @@
             return Err(Outcome::Unsent);
         }
     };
+    let waited = started_at.elapsed();
+    if waited >= LATE_SEND_MIN {
+        log::info!(
+            "event=sent_late request={} replica={} ms={} open={}",
+            job.id(),
+            replica.upstream.id.name,
+            waited.as_millis(),
+            replica.is_open()
+        );
+    }
     match send_on(state, job, replica, connection, "new", request, crash_guard).await {
         Err(SendError::Unsent(_)) => Err(Outcome::Unsent),
         Err(SendError::Lost) => Err(Outcome::Unknown),
