Missing replicas are kept only for outages of the directory itself

Cause: any failed call of a gateway counted as an outage of the directory, in which entries may expire though their replicas are sound. So a gateway that had been cut off, one whose ledger instances had lost the directory, and one that had just started kept replicas for up to 2.7 s, against a bound of 2.0 s. Class: the failure of an own call is taken for a statement on the other side.

Change: what shows an outage is that nobody had answers. Only a pause that is left when all are joined, in which a lease may run out, is an outage. A missing entry is awaited only if its lease may have run out in it, and until 2.2 s after the directory's return, not after the gateway's finding it; the end is compared where a replica is chosen. The decision is made again when a span fills the pause. A replica that drains is awaited by nobody.

The setting directory.renewal_ms (default 1200) tells how often replicas renew.

--- a/crates/gg-gateway/src/copy_guard.rs
+++ b/crates/gg-gateway/src/copy_guard.rs
@@ -80,7 +80,12 @@
     /// Age of the copy: all that was acknowledged longer ago is in it. `None` until
     /// it was confirmed once.
     pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
-        lock(&self.state).confirmed.map(|confirmed| confirmed.age(now))
+        self.confirmed().map(|confirmed| confirmed.age(now))
+    }
+
+    /// Up to when the copy is known to be the newest.
+    pub(crate) fn confirmed(&self) -> Option<Confirmed> {
+        lock(&self.state).confirmed
     }
 
     /// Whether the copy may be used now. Called regularly, so that an outage is
--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -15,8 +15,8 @@
 
 use gg_ledger::{EntryFilter, LAYOUT_NAME, Registration};
 use gg_platform::{
-    Change, Confirmed, CopyAges, DirectoryUpdate, Entry, FRESH_TIME, FollowContext, FollowSettings,
-    Freshness, Kind, MirrorUpdate, OWN_LIST_SPREAD, POLL_INTERVAL, POLL_SLOWDOWN,
+    AnswerSpan, Change, Confirmed, CopyAges, DirectoryUpdate, Entry, FRESH_TIME, FollowContext,
+    FollowSettings, Freshness, Kind, MirrorUpdate, OWN_LIST_SPREAD, POLL_INTERVAL, POLL_SLOWDOWN,
     follow_unless_fresh,
 };
 use gg_route::Deployment;
@@ -132,6 +132,7 @@
         let has_reply = !responses.is_empty();
         let mut peers = Vec::new();
         for response in responses {
+            response.answers.into_iter().for_each(|span| state.fleet.record_answers(span));
             admit::record_shared(state, response.overload);
             permit::record_limits(state, response.limits);
             peers.extend(response.peers);
@@ -204,8 +205,10 @@
     /// Applies an update of a ledger instance, in reply to a poll of `sent_at`.
     fn apply_mirrored(&self, update: MirrorUpdate, sent_at: Instant, instance: &str) {
         let confirmed = update.age.and_then(|age| Confirmed::from_peer(age, sent_at));
-        if lock(&self.freshness).record(update.is_current, confirmed, Instant::now()) {
-            self.state.fleet.record_lost();
+        lock(&self.freshness).record(update.is_current, confirmed, Instant::now());
+        // Entries that are missing are judged by what is known of outages.
+        if let Some(confirmed) = confirmed {
+            self.state.fleet.record_answers(AnswerSpan::at(confirmed.moment()));
         }
         if let Some(entries) = update.entries {
             self.apply(DirectoryUpdate::Snapshot(update.revision, entries), instance);
@@ -217,6 +220,7 @@
 
     /// Records that the entries in use hold all that was acknowledged then.
     fn confirm(&self, confirmed: Confirmed) {
+        self.state.fleet.record_answers(AnswerSpan::at(confirmed.moment()));
         if let Some(guard) = self.guard() {
             guard.confirm(confirmed);
         }
@@ -249,9 +253,12 @@
     /// Applies an update of `source` unless a newer one was already applied.
     /// Entries that can't be read are filtered out and logged.
     fn apply(&self, update: DirectoryUpdate, source: &str) {
-        if let DirectoryUpdate::Confirmed(confirmed) = update {
-            self.confirm(confirmed);
-            return;
+        match update {
+            DirectoryUpdate::Answered(at) => {
+                return self.state.fleet.record_answers(AnswerSpan::at(at));
+            }
+            DirectoryUpdate::Confirmed(confirmed) => return self.confirm(confirmed),
+            _ => {}
         }
         if let DirectoryUpdate::Snapshot(revision, _) | DirectoryUpdate::Changes(revision, _) =
             &update
@@ -293,7 +300,7 @@
 }
 
 fn apply_upstreams<D: Deployment>(state: &State<D>, update: DirectoryUpdate, source: &str) {
-    let origin = Origin { source, age: state.replicas_guard.age(Instant::now()) };
+    let origin = Origin { source, known: state.replicas_guard.confirmed() };
     let read = |entry: &Entry| state.deployment.upstream(entry).ok();
     match update {
         DirectoryUpdate::Snapshot(_, entries) => {
@@ -311,8 +318,8 @@
                 }
             }
         }
-        DirectoryUpdate::Confirmed(_) => {}
-        DirectoryUpdate::Lost(_) => state.fleet.record_lost(),
+        DirectoryUpdate::Answered(_) | DirectoryUpdate::Confirmed(_) | DirectoryUpdate::Lost(_) => {
+        }
     }
 }
 
@@ -340,6 +347,8 @@
                 Change::Removed(_) => None,
             })
             .collect(),
-        DirectoryUpdate::Confirmed(_) | DirectoryUpdate::Lost(_) => Vec::new(),
+        DirectoryUpdate::Answered(_) | DirectoryUpdate::Confirmed(_) | DirectoryUpdate::Lost(_) => {
+            Vec::new()
+        }
     }
 }
--- a/crates/gg-gateway/src/fleet.rs
+++ b/crates/gg-gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 };
 
 use gg_dispatch::Pace;
+use gg_platform::{AnswerLog, AnswerSpan, Confirmed, CopyAges};
 use gg_protocol::Name;
 use gg_route::{Upstream, UpstreamState};
 use indexmap::IndexMap;
@@ -21,7 +22,7 @@
 
 /// Entries that expired during a directory outage return within this time after
 /// it ends. Their replicas stay usable until then.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
 /// Nothing is known of the age of replicas that are listed within this time after
 /// the first one: the gateway or the whole deployment has just started.
@@ -32,34 +33,46 @@
 pub struct Origin<'a> {
     /// Ledger instance, or the directory itself.
     pub source: &'a str,
-    /// Age of the copy in use before the update: what it changes was acknowledged
-    /// later. `None` if the copy was never confirmed.
-    pub age: Option<Duration>,
+    /// Up to when the copy in use before the update is confirmed: what the update
+    /// changes was acknowledged later.
+    pub known: Option<Confirmed>,
 }
 
 impl fmt::Display for Origin<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "source={} age_ms={}", self.source, millis_text(self.age))
+        let age = self.known.map(|known| known.age(Instant::now()));
+        write!(f, "source={} age_ms={}", self.source, millis_text(age))
     }
 }
 
+/// Settings of a fleet.
+#[derive(Clone, Debug, Default)]
+pub struct FleetSettings {
+    /// This gateway's data centre, if new replicas are given their own pace, as seen
+    /// by a gateway there; without one, they take part at once.
+    pub pace_centre: Option<Name>,
+    /// When entries expire.
+    pub ages: CopyAges,
+}
+
 /// Replicas by service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Fleet {
     state: Mutex<State>,
-    /// This gateway's data centre, if new replicas are given their own pace.
-    pace_centre: Option<Name>,
+    settings: FleetSettings,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     services: HashMap<Name, Service>,
     replicas: IndexMap<Name, Arc<Replica>>,
-    /// Replicas whose entries are missing since the directory returned, with
-    /// the time when each went missing.
-    missing: HashMap<Name, Instant>,
-    /// Last time at which the directory did not respond.
-    lost_at: Option<Instant>,
+    /// Replicas whose entries may have expired in an outage, with the moment up to
+    /// which each entry is known to have existed.
+    missing: HashMap<Name, Option<Confirmed>>,
+    /// When the directory has answered anybody.
+    answers: AnswerLog,
+    /// When entries expire.
+    lease: Duration,
     /// Replicas that ended lately.
     departures: Departures,
     /// When the first replica was listed.
@@ -74,10 +87,23 @@
 }
 
 impl Fleet {
-    /// A fleet whose new replicas are given their own pace, as seen by a gateway in
-    /// `pace_centre`; without one, they take part at once.
-    pub fn new(pace_centre: Option<Name>) -> Self {
-        Fleet { pace_centre, ..Fleet::default() }
+    /// A fleet without replicas.
+    pub fn new(settings: FleetSettings) -> Self {
+        let state = State {
+            services: HashMap::new(),
+            replicas: IndexMap::new(),
+            missing: HashMap::new(),
+            answers: AnswerLog::new(settings.ages.outage_min),
+            lease: settings.ages.lease,
+            departures: Departures::default(),
+            first_listed_at: None,
+        };
+        Fleet { state: Mutex::new(state), settings }
+    }
+
+    /// The settings that it was made with.
+    pub fn settings(&self) -> &FleetSettings {
+        &self.settings
     }
 
     /// Sets the complete list of replicas; all others are removed.
@@ -85,7 +111,7 @@
         let mut state = lock(&self.state);
         let present: Vec<Name> =
             upstreams.iter().map(|upstream| upstream.id.name.clone()).collect();
-        let centre = self.pace_centre.as_deref();
+        let centre = self.settings.pace_centre.as_deref();
         upstreams.into_iter().for_each(|upstream| state.put(upstream, centre));
         let removed: Vec<Name> =
             state.replicas.keys().filter(|name| !present.contains(name)).cloned().collect();
@@ -94,7 +120,7 @@
 
     /// Adds or updates one replica.
     pub fn put(&self, upstream: Upstream) {
-        lock(&self.state).put(upstream, self.pace_centre.as_deref());
+        lock(&self.state).put(upstream, self.settings.pace_centre.as_deref());
     }
 
     /// Removes a replica whose entry was removed from the directory.
@@ -102,19 +128,22 @@
         lock(&self.state).remove(name, origin);
     }
 
-    /// Records that the directory does not respond.
-    pub fn record_lost(&self) {
-        lock(&self.state).lost_at = Some(Instant::now());
+    /// Records that the directory has answered this gateway or a peer. What is known
+    /// of outages may change with it.
+    pub fn record_answers(&self, span: AnswerSpan) {
+        let mut state = lock(&self.state);
+        let outage = state.answers.outage();
+        state.answers.record(span);
+        if state.answers.outage() != outage {
+            state.review_missing();
+        }
     }
 
     /// Drops missing replicas whose entries did not return in time, and closes
     /// connections that were idle for too long.
     pub fn sweep(&self) {
         self.replicas().iter().for_each(|replica| replica.pool.close_expired());
-        let mut state = lock(&self.state);
-        let expired = state.missing.iter().filter(|(_, since)| since.elapsed() >= LAPSE_GRACE);
-        let expired: Vec<Name> = expired.map(|(name, _)| name.clone()).collect();
-        expired.iter().for_each(|name| state.drop_entry(name, "reason=expired"));
+        lock(&self.state).review_missing();
     }
 
     /// The replicas of a service.
@@ -183,6 +212,7 @@
                     log::info!("event=replica_draining replica={name}");
                     known.set_draining();
                 }
+                known.set_missing(None);
                 return;
             }
             self.drop_entry(&name, "reason=replaced");
@@ -215,18 +245,46 @@
         })
     }
 
+    /// Removes a replica whose entry is missing, unless the entry may be back soon.
     fn remove(&mut self, name: &str, origin: &Origin<'_>) {
-        let lapsed = self.lost_at.is_some_and(|at| at.elapsed() < LAPSE_GRACE);
-        match self.replicas.get_key_value(name) {
-            None => {}
-            Some((name, _)) if lapsed => {
-                if !self.missing.contains_key(name) {
-                    let kept_ms = LAPSE_GRACE.as_millis();
-                    log::info!("event=replica_missing replica={name} {origin} kept_ms={kept_ms}");
-                    self.missing.insert(name.clone(), Instant::now());
+        let Some((name, replica)) = self.replicas.get_key_value(name) else { return };
+        let (name, replica) = (name.clone(), replica.clone());
+        if self.missing.contains_key(&name) {
+            return;
+        }
+        match self.awaited_until(origin.known) {
+            Some(until) if replica.is_open() => {
+                let kept_ms = until.saturating_duration_since(Instant::now()).as_millis();
+                log::info!("event=replica_missing replica={name} {origin} kept_ms={kept_ms}");
+                replica.set_missing(Some(until));
+                self.missing.insert(name, origin.known);
+            }
+            _ => self.drop_entry(&name, &format!("reason=removed {origin}")),
+        }
+    }
+
+    /// Until when an entry may be back that existed at `known` and is missing now;
+    /// `None` if it was removed for good.
+    fn awaited_until(&self, known: Option<Confirmed>) -> Option<Instant> {
+        let outage = self.answers.outage()?;
+        let may_return = known.is_none_or(|known| outage.may_end_lease(self.lease, known.moment()));
+        let until = outage.ended + RETURN_TIME;
+        (may_return && Instant::now() < until).then_some(until)
+    }
+
+    /// Drops the missing replicas that are not awaited any more.
+    fn review_missing(&mut self) {
+        let missing: Vec<(Name, Option<Confirmed>)> =
+            self.missing.iter().map(|(name, known)| (name.clone(), *known)).collect();
+        for (name, known) in missing {
+            match self.awaited_until(known) {
+                None => self.drop_entry(&name, "reason=not_back"),
+                until => {
+                    if let Some(replica) = self.replicas.get(&name) {
+                        replica.set_missing(until);
+                    }
                 }
             }
-            Some(_) => self.drop_entry(name, &format!("reason=removed {origin}")),
         }
     }
 
--- a/crates/gg-gateway/src/replica.rs
+++ b/crates/gg-gateway/src/replica.rs
@@ -164,6 +164,8 @@
     listed_at: Instant,
     load: AtomicU32,
     draining: AtomicBool,
+    /// Until when it is used although its entry is missing.
+    missing_until: Mutex<Option<Instant>>,
     observed: Mutex<Observations>,
     /// Time and result of the last reachability probe.
     last_probe: tokio::sync::Mutex<Option<(Instant, Reached)>>,
@@ -207,6 +209,7 @@
             listed_at: Instant::now(),
             load: AtomicU32::new(0),
             draining: AtomicBool::new(upstream.state == UpstreamState::Draining),
+            missing_until: Mutex::default(),
             observed,
             last_probe: tokio::sync::Mutex::default(),
             confirming: AtomicBool::new(false),
@@ -223,6 +226,13 @@
     /// Whether the replica accepts new work.
     pub(crate) fn is_open(&self) -> bool {
         !self.draining.load(Ordering::Relaxed)
+            && lock(&self.missing_until).is_none_or(|until| Instant::now() < until)
+    }
+
+    /// Records until when the replica is used although its entry is missing; `None`
+    /// if it is not missing.
+    pub(crate) fn set_missing(&self, until: Option<Instant>) {
+        *lock(&self.missing_until) = until;
     }
 
     /// Stops new work for the replica and closes its idle connections.
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -12,15 +12,15 @@
 use gg_dispatch::{Admission, RetryBudget};
 use gg_ledger::Ledger;
 use gg_metrics::Metrics;
-use gg_platform::age_limit;
+use gg_platform::{CopyAges, age_limit};
 use gg_protocol::{DirectoryBounds, Name};
 use gg_route::{Configuration, RouteTable};
 use gg_settings::RateSettings;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    BufferBudget, Fleet, Programs, Revocation, connect::Connector, copy_guard::CopyGuard,
-    credit::Credits,
+    BufferBudget, Fleet, FleetSettings, Programs, Revocation, connect::Connector,
+    copy_guard::CopyGuard, credit::Credits,
 };
 
 /// Hedged requests as a share of responses. Above this share slow responses are
@@ -84,7 +84,10 @@
             hedges: Mutex::new(RetryBudget::new(HEDGE_SHARE, HEDGE_BURST)),
             deployment,
             ledger,
-            fleet: Arc::default(),
+            fleet: Arc::new(Fleet::new(FleetSettings {
+                ages: CopyAges::new(bounds),
+                ..FleetSettings::default()
+            })),
             centre,
             connector: Arc::new(connector),
             admissions: Mutex::default(),
@@ -102,7 +105,10 @@
 
     /// Gives new replicas their own pace. Called before any replica is listed.
     pub(crate) fn with_replica_pace(mut self) -> Self {
-        self.fleet = Arc::new(Fleet::new(Some(self.centre.clone())));
+        self.fleet = Arc::new(Fleet::new(FleetSettings {
+            pace_centre: Some(self.centre.clone()),
+            ..self.fleet.settings().clone()
+        }));
         self
     }
 
--- a/crates/gg-ledger/src/directory_state.rs
+++ b/crates/gg-ledger/src/directory_state.rs
@@ -47,7 +47,9 @@
                     }
                 }
             }
-            DirectoryUpdate::Confirmed(_) | DirectoryUpdate::Lost(_) => {}
+            DirectoryUpdate::Answered(_)
+            | DirectoryUpdate::Confirmed(_)
+            | DirectoryUpdate::Lost(_) => {}
         }
         layout
     }
@@ -79,7 +81,9 @@
                     };
                 }
             }
-            DirectoryUpdate::Confirmed(_) | DirectoryUpdate::Lost(_) => {}
+            DirectoryUpdate::Answered(_)
+            | DirectoryUpdate::Confirmed(_)
+            | DirectoryUpdate::Lost(_) => {}
         }
     }
 }
--- a/crates/gg-ledger/src/entry_filter.rs
+++ b/crates/gg-ledger/src/entry_filter.rs
@@ -51,8 +51,9 @@
                 let read = |change| self.read_change(codec, change);
                 DirectoryUpdate::Changes(revision, changes.into_iter().filter_map(read).collect())
             }
-            DirectoryUpdate::Confirmed(confirmed) => DirectoryUpdate::Confirmed(confirmed),
-            DirectoryUpdate::Lost(err) => DirectoryUpdate::Lost(err),
+            other @ (DirectoryUpdate::Answered(_)
+            | DirectoryUpdate::Confirmed(_)
+            | DirectoryUpdate::Lost(_)) => other,
         }
     }
 
--- a/crates/gg-ledger/src/layout_controller.rs
+++ b/crates/gg-ledger/src/layout_controller.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use gg_platform::{
-    Confirmed, CopyAges, DirectoryUpdate, FollowContext, FollowSettings, Kind, MIRROR_INTERVAL,
-    MirrorUpdate, PlatformError, follow_unless_fresh,
+    AnswerSpan, Confirmed, CopyAges, DirectoryUpdate, FollowContext, FollowSettings, Kind,
+    MIRROR_INTERVAL, Mirror, MirrorUpdate, PlatformError, follow_unless_fresh,
 };
 use gg_protocol::Name;
 use gg_route::Deployment;
@@ -108,7 +108,7 @@
     ) -> Self {
         let links = Mutex::new(Links::new(Some(RECONCILE_INTERVAL), stop));
         let max_age = settings.ages.current;
-        node.mirror().set_current_age(max_age);
+        *node.mirror() = Mirror::new(&settings.ages);
         LayoutController {
             settings,
             directory,
@@ -176,7 +176,12 @@
                 let sent_at = Instant::now();
                 let call = link.call(NO_PARTITION, Op::Mirror(revisions.clone()));
                 match time::timeout(POLL_TIMEOUT, call).await {
-                    Ok(Ok(ReplyBody::Mirror(updates))) => (sent_at, updates),
+                    Ok(Ok(ReplyBody::Mirror(updates, answers))) => {
+                        let span =
+                            answers.and_then(|a| AnswerSpan::from_peer(a, sent_at, Instant::now()));
+                        span.into_iter().for_each(|span| self.node.mirror().record_answers(span));
+                        (sent_at, updates)
+                    }
                     _ => (sent_at, Vec::new()),
                 }
             });
@@ -246,7 +251,7 @@
                     return;
                 }
             }
-            DirectoryUpdate::Confirmed(_) => {
+            DirectoryUpdate::Answered(_) | DirectoryUpdate::Confirmed(_) => {
                 self.node.mirror().apply(source.kind, &update);
                 return;
             }
--- a/crates/gg-ledger/src/poll.rs
+++ b/crates/gg-ledger/src/poll.rs
@@ -7,7 +7,7 @@
 };
 
 use futures::future::join_all;
-use gg_platform::{Kind, MirrorUpdate};
+use gg_platform::{AnswerSpan, Kind, MirrorUpdate};
 use gg_protocol::Name;
 use rand::seq::SliceRandom;
 use tokio::time;
@@ -41,6 +41,8 @@
     pub limits: Vec<(Name, LimitReport)>,
     /// Offers of tunnels, if they were asked for.
     pub peers: Vec<TunnelOffer>,
+    /// When the directory has answered the instance or its peers.
+    pub answers: Option<AnswerSpan>,
 }
 
 /// What a client tells and asks of tunnels in a poll.
@@ -86,11 +88,23 @@
                     crashes,
                     limits,
                     peers,
+                    answers,
                 })) => {
                     self.apply_crash_updates(&link, sent, &crashes);
                     let clients = polling_clients;
                     let instance = link.member.instance.clone();
-                    Some(PollReply { instance, sent_at, updates, clients, overload, limits, peers })
+                    let span = |report| AnswerSpan::from_peer(report, sent_at, Instant::now());
+                    let answers = answers.and_then(span);
+                    Some(PollReply {
+                        instance,
+                        sent_at,
+                        updates,
+                        clients,
+                        overload,
+                        limits,
+                        peers,
+                        answers,
+                    })
                 }
                 _ => None,
             }
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::SinkExt;
-use gg_platform::{Kind, MirrorUpdate};
+use gg_platform::{AnswerReport, Kind, MirrorUpdate};
 use gg_protocol::Name;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -206,9 +206,13 @@
         limits: Vec<(Name, LimitReport)>,
         /// Some offers of tunnels, if the client asked for them.
         peers: Vec<TunnelOffer>,
+        /// When the directory has answered. A trailing field behind the ages.
+        #[serde(skip)]
+        answers: Option<AnswerReport>,
     },
-    /// Reply to [`Op::Mirror`]. The ages of the updates are a trailing field.
-    Mirror(Vec<MirrorUpdate>),
+    /// Reply to [`Op::Mirror`]: the updates, and when the directory has answered. The
+    /// ages of the updates and the latter are trailing fields.
+    Mirror(Vec<MirrorUpdate>, #[serde(skip)] Option<AnswerReport>),
     /// Reply to [`Op::Permit`].
     Permit(PermitReply),
     /// Reply to [`Op::Status`].
@@ -276,8 +280,11 @@
         }
         ReplyBody::Opened { has_gap: true, .. } => encode(reply, Some(&true)),
         ReplyBody::PullChunk { ages_ms, .. } => encode(reply, Some(ages_ms)),
-        ReplyBody::Poll { updates, .. } | ReplyBody::Mirror(updates) => {
-            encode(reply, copy_ages(updates).as_ref())
+        ReplyBody::Poll { updates, answers, .. } | ReplyBody::Mirror(updates, answers) => {
+            match (copy_ages(updates), answers) {
+                (ages, Some(answers)) => encode(reply, Some(&(ages.unwrap_or_default(), answers))),
+                (ages, None) => encode(reply, ages.as_ref()),
+            }
         }
         ReplyBody::Pong { credit: Some(credit) } => encode(reply, Some(credit)),
         _ => encode(reply, None::<&()>),
@@ -315,8 +322,10 @@
             *settled = trailing(rest)?.0;
         }
         ReplyBody::PullChunk { ages_ms, .. } => *ages_ms = trailing(rest)?.0.unwrap_or_default(),
-        ReplyBody::Poll { updates, .. } | ReplyBody::Mirror(updates) => {
-            let ages: Vec<Option<u32>> = trailing(rest)?.0.unwrap_or_default();
+        ReplyBody::Poll { updates, answers, .. } | ReplyBody::Mirror(updates, answers) => {
+            let (ages, rest) = trailing::<Vec<Option<u32>>>(rest)?;
+            *answers = trailing(rest)?.0;
+            let ages = ages.unwrap_or_default();
             for (update, age_ms) in updates.iter_mut().zip(ages) {
                 update.age = age_ms.map(|ms| Duration::from_millis(ms.into()));
             }
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use gg_http::configure_socket;
+use gg_platform::{AnswerReport, Kind, MirrorUpdate};
 use gg_protocol::Name;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -147,7 +148,7 @@
             send_reply(replies, id, ReplyBody::Pong { credit }).await;
         }
         Op::Poll { from, known, overload, crashes, offer, wants_peers } => {
-            let updates = node.mirror().updates(&known, Instant::now());
+            let (updates, answers) = read_mirror(node, &known);
             let (polling_clients, overload) = node.record_poll(from.clone(), overload);
             let crashes = node.exchange_crashes(&from, crashes);
             let peers = node.exchange_offers(&from, offer, wants_peers);
@@ -155,13 +156,21 @@
             send_reply(
                 replies,
                 id,
-                ReplyBody::Poll { updates, polling_clients, overload, crashes, limits, peers },
+                ReplyBody::Poll {
+                    updates,
+                    polling_clients,
+                    overload,
+                    crashes,
+                    limits,
+                    peers,
+                    answers,
+                },
             )
             .await;
         }
         Op::Mirror(known) => {
-            let updates = node.mirror().updates(&known, Instant::now());
-            send_reply(replies, id, ReplyBody::Mirror(updates)).await;
+            let (updates, answers) = read_mirror(node, &known);
+            send_reply(replies, id, ReplyBody::Mirror(updates, answers)).await;
         }
         Op::Permit(request) => {
             send_reply(replies, id, ReplyBody::Permit(node.issue_permit(&request))).await;
@@ -299,6 +308,12 @@
     chain.map_or(ReplyBody::Full, ReplyBody::Fetched)
 }
 
+/// Directory updates since these revisions, and when the directory has answered.
+fn read_mirror(node: &Node, known: &[(Kind, u64)]) -> (Vec<MirrorUpdate>, Option<AnswerReport>) {
+    let (mirror, now) = (node.mirror(), Instant::now());
+    (mirror.updates(known, now), mirror.answer_report(now))
+}
+
 /// Sends the reply that holds a chain, or that there is none or it is too long.
 /// Other replies aren't delayed while its
 /// texts are read from the log. There is no reply if that fails, so that the
--- a/crates/gg-ledger/tests/formats.rs
+++ b/crates/gg-ledger/tests/formats.rs
@@ -492,6 +492,51 @@
     }
 }
 
+/// When the directory has answered follows the ages. An instance of 735404d tells
+/// nothing of it, which is not an outage.
+#[tokio::test]
+async fn answers_of_directory() {
+    let stop = CancellationToken::new();
+    let _stop = stop.clone().drop_guard();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback port");
+    let address = listener.local_addr().expect("bound address");
+    let reports = [None, Some((90_000_u64, 120_u64))];
+    tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
+        let (socket, _) = listener.accept().await.expect("accepted");
+        let mut connection = framed(socket);
+        let mut reports = reports.iter();
+        while let Some(Ok(frame)) = connection.next().await {
+            let (id, _, _, _, op): Request = postcard::from_bytes(&frame).expect("a request");
+            let reply = match op {
+                Op::Ping => postcard::to_allocvec(&(id, Body::Pong)),
+                _ => {
+                    let none = (1, 0, Vec::new());
+                    let body = Body::Poll(Vec::new(), 1, Vec::new(), none, Vec::new(), Vec::new());
+                    let reply = postcard::to_allocvec(&(id, body)).expect("encoded");
+                    match reports.next().expect("a poll for each reply") {
+                        None => Ok(reply),
+                        Some(report) => {
+                            let ages: Vec<Option<u32>> = Vec::new();
+                            postcard::to_extend(&(ages, report), reply)
+                        }
+                    }
+                }
+            };
+            connection.send(Bytes::from(reply.expect("encoded"))).await.expect("sent");
+        }
+    }));
+    let ledger = connect(address, &stop).await;
+    for report in reports {
+        let polled = ledger.poll(&[], &Vec::new(), &PollTunnels::default()).await;
+        let now = Instant::now().into_std();
+        let told = polled[0].answers.map(|span| span.report(now));
+        assert_eq!(told.is_some(), report.is_some());
+        if let (Some(told), Some((first_ms, last_ms))) = (told, report) {
+            assert!(told.last_ms >= last_ms && told.first_ms <= first_ms + told.last_ms - last_ms);
+        }
+    }
+}
+
 /// 735404d ignores what follows a message or an entry, so fields are added there.
 #[test]
 fn trailing_fields() {
--- a/crates/gg-platform/src/confirmed.rs
+++ b/crates/gg-platform/src/confirmed.rs
@@ -26,6 +26,11 @@
         request_sent_at.checked_sub(age).map(Confirmed)
     }
 
+    /// The moment itself.
+    pub fn moment(self) -> Instant {
+        self.0
+    }
+
     /// Age of the copy. Time in which this machine was suspended counts.
     pub fn age(self, now: Instant) -> Duration {
         now.saturating_duration_since(self.0) + suspended_since(self.0)
--- a/crates/gg-platform/src/copy_ages.rs
+++ b/crates/gg-platform/src/copy_ages.rs
@@ -57,6 +57,10 @@
 /// time. The age of a copy decides there whether requests are refused.
 const STRICT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Intervals of renewals after which the directory removes an entry that was not
+/// renewed.
+const LEASE_RENEWALS: u32 = 3;
+
 /// Ages that follow from the bounds of a deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CopyAges {
@@ -65,6 +69,11 @@
     /// Age from which on a copy no longer counts as current, so that its readers
     /// look for another source.
     pub current: Duration,
+    /// Time after its last renewal at which an entry expires.
+    pub lease: Duration,
+    /// Shortest pause of the directory's answers that counts as an outage: renewed
+    /// entries don't expire in less, and checks pause for less.
+    pub outage_min: Duration,
 }
 
 impl CopyAges {
@@ -75,7 +84,10 @@
         let current = shortest.saturating_sub(OWN_LIST_TIME);
         let check_interval = current.saturating_sub(DELIVERY_TIME).max(CHECK_INTERVAL_MIN);
         let longest = bounds.revocation.map_or(Duration::MAX, |_| STRICT_CHECK_INTERVAL);
-        CopyAges { check_interval: check_interval.min(longest), current }
+        let check_interval = check_interval.min(longest);
+        let lease = bounds.renewal * LEASE_RENEWALS;
+        let outage_min = lease.saturating_sub(bounds.renewal).max(check_interval + bounds.renewal);
+        CopyAges { check_interval, current, lease, outage_min }
     }
 }
 
--- a/crates/gg-platform/src/follow.rs
+++ b/crates/gg-platform/src/follow.rs
@@ -66,6 +66,9 @@
     Snapshot(u64, Vec<Entry>),
     /// Changes since the last update, up to a revision.
     Changes(u64, Vec<Change>),
+    /// The directory has answered a call at this moment. Comes before the update that
+    /// the answer holds.
+    Answered(Instant),
     /// The updates so far hold all that the directory had acknowledged then.
     Confirmed(Confirmed),
     /// The directory can't be reached. The last known state stays in use.
@@ -138,6 +141,10 @@
                 retry_delay = settings.retry_delay;
                 let has_changes = matches!(&update, Some(DirectoryUpdate::Changes(_, changes)) if !changes.is_empty());
                 let is_list = matches!(&update, Some(DirectoryUpdate::Snapshot(..)));
+                // A watch may have been sent long before, and a list is of the moment
+                // at which it was sent at the earliest.
+                let answered_at = if is_list { sent_at } else { now() };
+                on_update(DirectoryUpdate::Answered(answered_at));
                 update.into_iter().for_each(&mut on_update);
                 position = next.map(|revision| Position { revision, sent_at }.or_later(position));
                 if let Some(Position { sent_at, .. }) = position {
--- a/crates/gg-platform/src/freshness.rs
+++ b/crates/gg-platform/src/freshness.rs
@@ -7,11 +7,8 @@
 /// Without an up-to-date response for this long, the directory is queried directly.
 pub const FRESH_TIME: Duration = Duration::from_millis(1_000);
 
-/// Freshness of what other sources report about one kind.
-///
-/// A single source may lose its connection to the directory. This must not count
-/// as an outage: during an outage, entries that expire stay in use for a while,
-/// so draining replicas would receive requests for too long.
+/// Freshness of what other sources report about one kind. A single source may lose its
+/// connection to the directory while the others are up to date.
 #[derive(Clone, Copy, Debug)]
 pub struct Freshness {
     max_age: Duration,
@@ -26,14 +23,12 @@
     }
 
     /// Records a response and the confirmation of its copy, unless the source has
-    /// none. Returns whether the directory must be considered unreachable for all
-    /// sources.
-    pub fn record(&mut self, is_current: bool, confirmed: Option<Confirmed>, now: Instant) -> bool {
+    /// none.
+    pub fn record(&mut self, is_current: bool, confirmed: Option<Confirmed>, now: Instant) {
         if is_current {
             self.current_at = Some(now);
             self.confirmed = self.confirmed.max(confirmed);
         }
-        self.since_current(now) >= FRESH_TIME
     }
 
     /// Whether an up-to-date source responded within [`FRESH_TIME`], and its copy is
--- a/crates/gg-platform/src/lib.rs
+++ b/crates/gg-platform/src/lib.rs
@@ -2,6 +2,7 @@
 //! watches, and the list of instances. Also the interface of the platform's
 //! directory, with functions that follow and mirror its entries.
 
+mod answers;
 mod client;
 mod confirmed;
 mod copy_ages;
@@ -15,6 +16,7 @@
 mod store;
 mod types;
 
+pub use answers::{AnswerLog, AnswerReport, AnswerSpan, Outage};
 pub use client::{Platform, PlatformSettings};
 pub use confirmed::Confirmed;
 pub use copy_ages::{
--- a/crates/gg-platform/src/mirror.rs
+++ b/crates/gg-platform/src/mirror.rs
@@ -6,7 +6,9 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{Change, Confirmed, CopyAges, DirectoryUpdate, Entry, Kind};
+use crate::{
+    AnswerLog, AnswerReport, AnswerSpan, Change, Confirmed, CopyAges, DirectoryUpdate, Entry, Kind,
+};
 
 /// Copies of directory entries, by kind.
 #[derive(Clone, Debug)]
@@ -14,6 +16,8 @@
     kinds: IndexMap<Kind, KindCopy>,
     /// Age from which on a copy is not called current.
     current_age: Duration,
+    /// Answers of the directory to this instance and its peers.
+    answers: AnswerLog,
 }
 
 /// Copy of the entries of one kind.
@@ -47,14 +51,25 @@
 
 impl Default for Mirror {
     fn default() -> Self {
-        Mirror { kinds: IndexMap::new(), current_age: CopyAges::default().current }
+        Mirror::new(&CopyAges::default())
     }
 }
 
 impl Mirror {
-    /// Sets the age from which on a copy is not called current.
-    pub fn set_current_age(&mut self, age: Duration) {
-        self.current_age = age;
+    /// A mirror without entries.
+    pub fn new(ages: &CopyAges) -> Self {
+        let answers = AnswerLog::new(ages.outage_min);
+        Mirror { kinds: IndexMap::new(), current_age: ages.current, answers }
+    }
+
+    /// Records answers of the directory to a peer.
+    pub fn record_answers(&mut self, span: AnswerSpan) {
+        self.answers.record(span);
+    }
+
+    /// When the directory has answered, for peers.
+    pub fn answer_report(&self, now: Instant) -> Option<AnswerReport> {
+        self.answers.span().map(|span| span.report(now))
     }
 
     /// Applies an update of a kind.
@@ -82,7 +97,9 @@
                     }
                 }
             }
+            DirectoryUpdate::Answered(at) => self.answers.record(AnswerSpan::at(*at)),
             DirectoryUpdate::Confirmed(confirmed) => {
+                self.answers.record(AnswerSpan::at(confirmed.moment()));
                 copy.confirmed = copy.confirmed.max(Some(*confirmed));
                 copy.is_lost = false;
             }
--- a/crates/gg-protocol/src/bounds.rs
+++ b/crates/gg-protocol/src/bounds.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-/// Times within which the whole deployment has to follow the directory.
+/// Times within which the whole deployment has to follow the directory, and that in
+/// which replicas renew their entries there.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DirectoryBounds {
     /// Time from the acknowledgement of a configuration until all requests are
@@ -14,6 +15,8 @@
     /// Time after the end of a disruption from which on the other bounds hold
     /// again.
     pub recovery: Duration,
+    /// Interval at which replicas renew their entries.
+    pub renewal: Duration,
     /// Time from the acknowledgement of a configuration that takes keys away until
     /// they are refused everywhere, also where no update arrives. `None` if the
     /// deployment has no such bound.
@@ -26,6 +29,7 @@
             apply: Duration::from_secs(2),
             drain: Duration::from_secs(2),
             recovery: Duration::from_secs(3),
+            renewal: Duration::from_millis(1_200),
             revocation: None,
         }
     }
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -194,6 +194,7 @@
         apply: bound("apply_ms", default.apply),
         drain: bound("drain_ms", default.drain),
         recovery: bound("recovery_ms", default.recovery),
+        renewal: bound("renewal_ms", default.renewal),
         revocation: Some(bound("revocation_ms", REVOCATION))
             .filter(|_| section.flag("strict_revocation", false)),
     };
