A replica is looked at again before each send

Callers' requests could reach a replica that had left, in time or not, because they were placed before: a request that waits at its replica for a permit, a connection or a tunnel was sent without another look at the replica, and a gateway that stalls in that wait did not ask for the age of its copy again.

Change: the replica's state and the age of the copy are compared right before a request is written to a connection. A request that isn't sent counts as unsent, so it is placed again within its attempts, or refused as not run. The replica is not suspected for it. Logged as `not_sent`.

--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -14,6 +14,7 @@
     LimitChange, Reservation,
     admit::record_full,
     connect::SILENCE_TIME,
+    copy_guard::CopyUse,
     crash::CrashGuard,
     credit,
     permit::log_limit_change,
@@ -30,8 +31,7 @@
 /// opened.
 const REUSE_ATTEMPTS_MAX: u32 = 2;
 
-/// Wait for a connection from which on the send is logged as late. What is known of
-/// the replica may have changed in it.
+/// Wait for a connection from which on the send is logged as late.
 const LATE_SEND_MIN: Duration = Duration::from_millis(250);
 
 /// Largest response that is read completely, in bytes.
@@ -150,7 +150,9 @@
     let (connection, response) = match answered {
         Ok(Ok(answered)) => answered,
         Ok(Err(outcome)) => {
-            replica.mark_suspect(FAILED_SUSPECT_TIME);
+            if is_usable(state, &replica) {
+                replica.mark_suspect(FAILED_SUSPECT_TIME);
+            }
             if outcome == Outcome::Unsent {
                 crash_guard.dismiss();
             }
@@ -363,6 +365,7 @@
     crash_guard: &mut CrashGuard<D>,
 ) -> Result<(Connection, Response<Incoming>), Outcome> {
     for _ in 0..REUSE_ATTEMPTS_MAX {
+        check_usable(state, job, replica)?;
         let Some(connection) = replica.pool.take_idle() else { break };
         match send_on(state, job, replica, connection, "idle", request, crash_guard).await {
             Err(SendError::Unsent(unsent)) => request = *unsent,
@@ -384,14 +387,14 @@
             return Err(Outcome::Unsent);
         }
     };
+    check_usable(state, job, replica)?;
     let waited = started_at.elapsed();
     if waited >= LATE_SEND_MIN {
         log::info!(
-            "event=sent_late request={} replica={} ms={} open={}",
+            "event=sent_late request={} replica={} ms={}",
             job.id(),
             replica.upstream.id.name,
-            waited.as_millis(),
-            replica.is_open()
+            waited.as_millis()
         );
     }
     match send_on(state, job, replica, connection, "new", request, crash_guard).await {
@@ -401,6 +404,27 @@
     }
 }
 
+/// Whether the replica may be sent requests, as far as a recent copy of the directory
+/// tells.
+fn is_usable<D>(state: &State<D>, replica: &Replica) -> bool {
+    replica.is_open() && state.replicas_guard.check() != CopyUse::Unconfirmed
+}
+
+/// Checks again that the replica may be sent a request, which may have waited for a
+/// permit or a connection since it was placed.
+fn check_usable<D>(state: &State<D>, job: &Job, replica: &Replica) -> Result<(), Outcome> {
+    if is_usable(state, replica) {
+        return Ok(());
+    }
+    log::info!(
+        "event=not_sent request={} replica={} open={}",
+        job.id(),
+        replica.upstream.id.name,
+        replica.is_open()
+    );
+    Err(Outcome::Unsent)
+}
+
 /// Why a connection carried no response.
 enum SendError {
     /// Nothing of the request was sent.
