--- a/crates/gg-engine/src/client.rs
+++ b/crates/gg-engine/src/client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gg_http::{Client, Reply};
+use gg_http::{Client, ClientSettings, Reply};
 use gg_protocol::{ChatCall, Message, ProgramId};
 use http::{Method, Request, header};
 use serde::Serialize;
@@ -14,12 +14,21 @@
 /// Timeout of all requests but completions.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Limits for the replies of engines, which are short but for lists of cache events.
+const REPLIES: ClientSettings = ClientSettings { reply_bytes: 4 << 20, total_bytes: 16 << 20 };
+
 /// Client of model engines; clones share its connections.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Engine {
     client: Client,
 }
 
+impl Default for Engine {
+    fn default() -> Self {
+        Engine { client: Client::new(REPLIES) }
+    }
+}
+
 impl Engine {
     /// Starts a streamed completion of `messages`. `timeout` bounds the wait
     /// for the response head, and after that each interval between events.
@@ -39,7 +48,7 @@
         if !status.is_success() {
             return Err(EngineError::Refused(status.as_u16(), status.to_string()));
         }
-        Ok(ChatStream::new(response.into_body(), timeout))
+        Ok(ChatStream::new(response.into_body(), call.max_tokens, timeout))
     }
 
     /// Releases the engine's cache of an ended program. Returns once the engine
--- a/crates/gg-engine/src/lib.rs
+++ b/crates/gg-engine/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod error;
+mod limited;
 mod stream;
 mod wire;
 
--- a/crates/gg-engine/src/stream.rs
+++ b/crates/gg-engine/src/stream.rs
@@ -5,11 +5,14 @@
 use eventsource_stream::{EventStream, Eventsource};
 use futures::StreamExt;
 use gg_protocol::Usage;
-use http_body_util::{BodyDataStream, BodyExt};
 use hyper::body::Incoming;
 use tokio::time;
 
-use crate::{EngineError, wire::ChatChunk};
+use crate::{
+    EngineError,
+    limited::{EventBytes, LimitedBody},
+    wire::ChatChunk,
+};
 
 /// Event of a streamed completion.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,18 +34,20 @@
 /// A completion in progress. Dropping it closes the connection, which makes
 /// the engine stop generating.
 pub struct ChatStream {
-    events: EventStream<BodyDataStream<Incoming>>,
+    events: EventStream<LimitedBody>,
+    event_bytes: EventBytes,
     idle: Duration,
     finish: Option<String>,
     usage: Option<Usage>,
 }
 
 impl ChatStream {
-    /// Reads events from a response body; `idle` is the timeout between two
-    /// events.
-    pub(crate) fn new(body: Incoming, idle: Duration) -> Self {
-        let events = body.into_data_stream().eventsource();
-        ChatStream { events, idle, finish: None, usage: None }
+    /// Reads events of at most `tokens` tokens from a response body; `idle` is the
+    /// timeout between two events.
+    pub(crate) fn new(body: Incoming, tokens: u64, idle: Duration) -> Self {
+        let event_bytes = EventBytes::default();
+        let events = LimitedBody::new(body, tokens, event_bytes.clone()).eventsource();
+        ChatStream { events, event_bytes, idle, finish: None, usage: None }
     }
 
     /// Returns the next event. [`EngineEvent::Done`] is the last one.
@@ -55,6 +60,7 @@
                 Ok(Some(Err(err))) => return Err(EngineError::Lost(err.to_string())),
                 Ok(Some(Ok(event))) => event,
             };
+            self.event_bytes.end_event();
             if event.data == DONE_MARKER {
                 return self.finish_event();
             }
--- a/crates/gg-http/src/client.rs
+++ b/crates/gg-http/src/client.rs
@@ -1,8 +1,8 @@
 //! HTTP client with timeouts and connection reuse.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -15,11 +15,12 @@
 
 use crate::{
     HttpError,
+    reply_budget::ReplyBudget,
     socket::{KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, TCP_USER_TIMEOUT},
 };
 
-/// Maximum size of a response body that is read whole.
-const REPLY_MAX_BYTES: usize = 64 << 20;
+/// Maximum size of a response head, in bytes.
+const HEAD_MAX_BYTES: usize = 64 << 10;
 
 /// Timeout for opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -27,10 +28,27 @@
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Limits for the responses that a client reads whole.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientSettings {
+    /// Maximum size of the body of one response, in bytes.
+    pub reply_bytes: usize,
+    /// Maximum size of the bodies that are being read at a time, in bytes.
+    pub total_bytes: usize,
+}
+
+impl Default for ClientSettings {
+    fn default() -> Self {
+        ClientSettings { reply_bytes: 64 << 20, total_bytes: 128 << 20 }
+    }
+}
+
 /// HTTP client with a connection pool. Clones share the pool.
 #[derive(Clone, Debug)]
 pub struct Client {
     pool: Pool<HttpConnector, Full<Bytes>>,
+    settings: ClientSettings,
+    budget: Arc<ReplyBudget>,
 }
 
 /// Response with its whole body.
@@ -58,6 +76,13 @@
 
 impl Default for Client {
     fn default() -> Self {
+        Client::new(ClientSettings::default())
+    }
+}
+
+impl Client {
+    /// A client without connections.
+    pub fn new(settings: ClientSettings) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -69,12 +94,12 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .retry_canceled_requests(false)
+            .http1_max_buf_size(HEAD_MAX_BYTES)
             .build(connector);
-        Client { pool }
+        let budget = Arc::new(ReplyBudget::new(settings.total_bytes));
+        Client { pool, settings, budget }
     }
-}
 
-impl Client {
     /// Sends a request and returns the response once its head has arrived.
     pub async fn open(
         &self,
@@ -100,11 +125,25 @@
         let whole = async {
             let response = self.open(request, timeout).await?;
             let (head, body) = response.into_parts();
-            let body = collect(body, REPLY_MAX_BYTES).await?;
+            let body = self.read_body(body).await?;
             Ok(Reply { status: head.status, headers: head.headers, body })
         };
         time::timeout(timeout, whole).await.unwrap_or(Err(HttpError::Timeout))
     }
+
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, HttpError> {
+        let mut share = self.budget.share();
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|err| HttpError::ConnectionLost(error_chain(&err)))?;
+            let Ok(data) = frame.into_data() else { continue };
+            if whole.len() + data.len() > self.settings.reply_bytes || !share.grow(data.len()) {
+                return Err(HttpError::TooLarge);
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
 }
 
 /// Reads a whole body; fails if it is larger than `max_bytes` bytes.
--- a/crates/gg-http/src/lib.rs
+++ b/crates/gg-http/src/lib.rs
@@ -4,11 +4,12 @@
 mod body;
 mod client;
 mod error;
+mod reply_budget;
 mod server;
 mod socket;
 
 pub use body::Body;
-pub use client::{Client, Reply};
+pub use client::{Client, ClientSettings, Reply};
 pub use error::HttpError;
 pub use server::{PeerAddress, ServerLimits, json_response, read_body, serve, serve_with};
 pub use socket::{configure_socket, connect_socket, listen_socket};
--- a/crates/gg-service/src/client.rs
+++ b/crates/gg-service/src/client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gg_http::{Client, HttpError};
+use gg_http::{Client, ClientSettings, HttpError};
 use gg_protocol::{ProgramId, ServiceCall};
 use http::{Method, Request, header};
 use quick_error::quick_error;
@@ -45,12 +45,21 @@
     pub body: String,
 }
 
+/// Limits for the replies of services, which become parts of prompts.
+const REPLIES: ClientSettings = ClientSettings { reply_bytes: 8 << 20, total_bytes: 32 << 20 };
+
 /// Client of services; clones share its connections.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Service {
     client: Client,
 }
 
+impl Default for Service {
+    fn default() -> Self {
+        Service { client: Client::new(REPLIES) }
+    }
+}
+
 impl Service {
     /// Sends a call once, without retries.
     pub async fn call(
