--- a/crates/gg-gateway/src/discovery.rs
+++ b/crates/gg-gateway/src/discovery.rs
@@ -27,7 +27,7 @@
 use crate::{
     admit,
     copy_guard::CopyGuard,
-    fleet::Origin,
+    fleet::UpdateSource,
     permit,
     state::{State, lock, millis_text},
 };
@@ -300,16 +300,16 @@
 }
 
 fn apply_upstreams<D: Deployment>(state: &State<D>, update: DirectoryUpdate, source: &str) {
-    let origin = Origin { source, known: state.replicas_guard.confirmed() };
+    let from = UpdateSource { source, known: state.replicas_guard.confirmed() };
     let read = |entry: &Entry| state.deployment.upstream(entry).ok();
     match update {
         DirectoryUpdate::Snapshot(_, entries) => {
-            state.fleet.replace(entries.iter().filter_map(read).collect(), &origin);
+            state.fleet.replace(entries.iter().filter_map(read).collect(), &from);
         }
         DirectoryUpdate::Changes(_, changes) => {
             for change in changes {
                 match change {
-                    Change::Removed(name) => state.fleet.remove(&name, &origin),
+                    Change::Removed(name) => state.fleet.remove(&name, &from),
                     Change::Put(entry) => {
                         if let Some(upstream) = read(&entry) {
                             state.fleet.put(upstream);
--- a/crates/gg-gateway/src/fleet.rs
+++ b/crates/gg-gateway/src/fleet.rs
@@ -30,7 +30,7 @@
 
 /// Where an update of the replicas comes from.
 #[derive(Clone, Copy, Debug)]
-pub struct Origin<'a> {
+pub struct UpdateSource<'a> {
     /// Ledger instance, or the directory itself.
     pub source: &'a str,
     /// Up to when the copy in use before the update is confirmed: what the update
@@ -38,7 +38,7 @@
     pub known: Option<Confirmed>,
 }
 
-impl fmt::Display for Origin<'_> {
+impl fmt::Display for UpdateSource<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let age = self.known.map(|known| known.age(Instant::now()));
         write!(f, "source={} age_ms={}", self.source, millis_text(age))
@@ -107,7 +107,7 @@
     }
 
     /// Sets the complete list of replicas; all others are removed.
-    pub fn replace(&self, upstreams: Vec<Upstream>, origin: &Origin<'_>) {
+    pub fn replace(&self, upstreams: Vec<Upstream>, from: &UpdateSource<'_>) {
         let mut state = lock(&self.state);
         let present: Vec<Name> =
             upstreams.iter().map(|upstream| upstream.id.name.clone()).collect();
@@ -115,7 +115,7 @@
         upstreams.into_iter().for_each(|upstream| state.put(upstream, centre));
         let removed: Vec<Name> =
             state.replicas.keys().filter(|name| !present.contains(name)).cloned().collect();
-        removed.iter().for_each(|name| state.remove(name, origin));
+        removed.iter().for_each(|name| state.remove(name, from));
     }
 
     /// Adds or updates one replica.
@@ -124,8 +124,8 @@
     }
 
     /// Removes a replica whose entry was removed from the directory.
-    pub fn remove(&self, name: &str, origin: &Origin<'_>) {
-        lock(&self.state).remove(name, origin);
+    pub fn remove(&self, name: &str, from: &UpdateSource<'_>) {
+        lock(&self.state).remove(name, from);
     }
 
     /// Records that the directory has answered this gateway or a peer. What is known
@@ -246,20 +246,20 @@
     }
 
     /// Removes a replica whose entry is missing, unless the entry may be back soon.
-    fn remove(&mut self, name: &str, origin: &Origin<'_>) {
+    fn remove(&mut self, name: &str, from: &UpdateSource<'_>) {
         let Some((name, replica)) = self.replicas.get_key_value(name) else { return };
         let (name, replica) = (name.clone(), replica.clone());
         if self.missing.contains_key(&name) {
             return;
         }
-        match self.awaited_until(origin.known) {
+        match self.awaited_until(from.known) {
             Some(until) if replica.is_open() => {
                 let kept_ms = until.saturating_duration_since(Instant::now()).as_millis();
-                log::info!("event=replica_missing replica={name} {origin} kept_ms={kept_ms}");
+                log::info!("event=replica_missing replica={name} {from} kept_ms={kept_ms}");
                 replica.set_missing(Some(until));
-                self.missing.insert(name, origin.known);
+                self.missing.insert(name, from.known);
             }
-            _ => self.drop_entry(&name, &format!("reason=removed {origin}")),
+            _ => self.drop_entry(&name, &format!("reason=removed {from}")),
         }
     }
 
--- a/crates/gg-gateway/src/lib.rs
+++ b/crates/gg-gateway/src/lib.rs
@@ -52,7 +52,7 @@
 pub use copy_guard::{ANSWER_TIME, CopyUse, copy_use, is_doubtful};
 pub use departures::Departures;
 pub use events::{EventCount, EventSplitter, Repeated};
-pub use fleet::{Fleet, FleetSettings, Origin};
+pub use fleet::{Fleet, FleetSettings, UpdateSource};
 pub use identity::{IdentityError, identify, identify_again, owned_name};
 pub use instance::{GatewayError, run_gateway, run_ledger};
 pub use prefix_cache::PrefixCache;
--- a/crates/gg-gateway/tests/missing_replicas.rs
+++ b/crates/gg-gateway/tests/missing_replicas.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use gg_gateway::{Fleet, FleetSettings, Origin};
+use gg_gateway::{Fleet, FleetSettings, UpdateSource};
 use gg_platform::{AnswerReport, AnswerSpan, Confirmed};
 use gg_route::{Upstream, UpstreamId, UpstreamState};
 
@@ -23,8 +23,8 @@
 }
 
 /// A list that holds all that was acknowledged `age` before `now`.
-fn origin(now: Instant, age: Duration) -> Origin<'static> {
-    Origin { source: "ledger", known: Some(Confirmed::at(now - age)) }
+fn update(now: Instant, age: Duration) -> UpdateSource<'static> {
+    UpdateSource { source: "ledger", known: Some(Confirmed::at(now - age)) }
 }
 
 /// A fleet of one replica that got answers at these times before `now`.
@@ -39,7 +39,7 @@
 fn removed_is_dropped() {
     let now = Instant::now();
     let fleet = fleet(now, &[SECOND * 2, SECOND, Duration::ZERO]);
-    fleet.remove("one", &origin(now, SECOND));
+    fleet.remove("one", &update(now, SECOND));
     assert!(!fleet.is_usable());
 }
 
@@ -47,8 +47,8 @@
 fn expired_is_kept() {
     let now = Instant::now();
     let fleet = fleet(now, &[SECOND * 5, Duration::ZERO]);
-    fleet.replace(Vec::new(), &origin(now, SECOND * 5));
-    fleet.replace(Vec::new(), &origin(now, Duration::ZERO));
+    fleet.replace(Vec::new(), &update(now, SECOND * 5));
+    fleet.replace(Vec::new(), &update(now, Duration::ZERO));
     fleet.sweep();
     assert!(fleet.is_usable());
     fleet.put(upstream());
@@ -61,7 +61,7 @@
 fn expired_is_awaited_once() {
     let now = Instant::now();
     let fleet = fleet(now, &[SECOND * 9, RETURN_TIME, SECOND]);
-    fleet.remove("one", &origin(now, SECOND * 9));
+    fleet.remove("one", &update(now, SECOND * 9));
     assert!(!fleet.is_usable());
 }
 
@@ -70,7 +70,7 @@
 fn removed_after_return() {
     let now = Instant::now();
     let fleet = fleet(now, &[SECOND * 6, SECOND, Duration::ZERO]);
-    fleet.remove("one", &origin(now, SECOND));
+    fleet.remove("one", &update(now, SECOND));
     assert!(!fleet.is_usable());
 }
 
@@ -80,7 +80,7 @@
     let now = Instant::now();
     let fleet = fleet(now, &[SECOND * 5, Duration::ZERO]);
     fleet.put(Upstream { state: UpstreamState::Draining, ..upstream() });
-    fleet.remove("one", &origin(now, SECOND * 5));
+    fleet.remove("one", &update(now, SECOND * 5));
     fleet.put(upstream());
     assert!(fleet.is_usable(), "listed anew");
 }
@@ -90,7 +90,7 @@
 fn denied_outage() {
     let now = Instant::now();
     let fleet = fleet(now, &[SECOND * 5, Duration::ZERO]);
-    fleet.remove("one", &origin(now, SECOND * 5));
+    fleet.remove("one", &update(now, SECOND * 5));
     assert!(fleet.is_usable());
     let report = AnswerReport { first_ms: 60_000, last_ms: 100 };
     let span = AnswerSpan::from_peer(report, now, now).expect("a span");
@@ -104,6 +104,6 @@
     let now = Instant::now();
     let fleet = fleet(now, &[SECOND * 9, SECOND * 4]);
     fleet.record_answers(AnswerSpan::at(now - SECOND));
-    fleet.remove("one", &origin(now, SECOND * 9));
+    fleet.remove("one", &update(now, SECOND * 9));
     assert!(fleet.is_usable());
 }
