--- /dev/null
+++ b/tests/abusive_callers.rs
@@ -0,0 +1,171 @@
+//! Callers of a daemon that send large or endless bodies and stay: the daemon lives,
+//! stays within its memory, and serves others.
+
+mod crowd;
+mod support;
+
+use crowd::{Crowd, Framing, MemoryWatch, Upload, alone};
+use gg_fakes::{CallResult, Fleet, FleetSettings};
+
+/// Memory available to a daemon, in bytes.
+const MEMORY_BYTES: u64 = 256 << 20;
+
+/// Callers that send at the same time.
+const CALLERS: usize = 60;
+
+/// Callers that send bodies of many JSON values.
+const JSON_CALLERS: usize = 8;
+
+/// Largest body that the daemon's default settings allow, in bytes.
+const BODY_MAX_BYTES: usize = 8 << 20;
+
+/// Size of a message that the token budget of a program allows, in bytes.
+const STORED_BYTES: usize = 950_000;
+
+/// One in this many callers completes its request.
+const COMPLETE_EVERY: usize = 10;
+
+/// Descriptors that a daemon uses for anything but connections of callers.
+const OTHER_DESCRIPTORS: usize = 100;
+
+const HEAD: &str = "POST /v1/chat/completions HTTP/1.1\r\nhost: daemon\r\n\
+                    authorization: Bearer key-ukhozi\r\nx-gg-profile: urgent\r\n\
+                    content-type: application/json\r\n";
+
+fn upload(framing: Framing, body: Vec<u8>, is_ended: bool) -> Upload {
+    Upload { head: HEAD.into(), framing, body: body.into(), is_ended }
+}
+
+/// A call whose field `name` consists of `item` repeated, with this size in bytes.
+fn json_body(name: &str, item: &str, bytes: usize) -> Vec<u8> {
+    let start = format!(
+        "{{\"model\": \"m1\", \"max_tokens\": 8, \"messages\": [{{\"role\": \"user\", \
+         \"content\": \"hello\"}}], \"{name}\": [{item}"
+    );
+    let mut body = start.into_bytes();
+    let next = format!(",{item}");
+    while body.len() + next.len() + 2 <= bytes {
+        body.extend_from_slice(next.as_bytes());
+    }
+    body.extend_from_slice(b"]}");
+    body
+}
+
+/// A call with one message of `bytes` bytes.
+fn text_call(bytes: usize) -> Upload {
+    let text = "x".repeat(bytes);
+    let body = format!(
+        "{{\"model\": \"m1\", \"max_tokens\": 8, \"messages\": [{{\"role\": \"user\", \
+         \"content\": \"{text}\"}}]}}"
+    );
+    upload(Framing::Length(body.len()), body.into_bytes(), true)
+}
+
+/// Whether an ordinary turn of another customer is answered.
+async fn is_served(fleet: &Fleet) -> bool {
+    let caller = fleet.caller("nyabugogo");
+    let Ok(program) = caller.start("urgent", None).await else { return false };
+    matches!(caller.turn(&program, 0, "question", 8).await, CallResult::Done(_))
+}
+
+async fn attack(description: &str, callers: usize, upload: impl Fn(usize) -> Upload) {
+    let _alone = alone().await;
+    let settings = FleetSettings { daemons: 1, engines: 1, ..FleetSettings::default() };
+    let fleet = support::fleet(settings).await;
+    let address = fleet.daemons[0].callers.parse().expect("address");
+    let watch = MemoryWatch::start(fleet.daemons[0].id().expect("process"), address);
+    let uploads = (0..callers).map(|caller| (address, upload(caller)));
+    let crowd = Crowd::start(uploads.collect());
+    crowd.settled(&[address]).await;
+    let served = async || is_served(&fleet).await;
+    eventually("a turn is answered beside the crowd", served).await;
+    let descriptors = watch.descriptors();
+    let summary = crowd.summary().await;
+    drop(crowd);
+    eventually("a turn is answered after the crowd", served).await;
+    let peak = watch.peak();
+    println!("{description}: peak {} MB, {descriptors} descriptors, {summary}", peak >> 20);
+    assert!(peak < MEMORY_BYTES, "{description}: the daemon used {peak} bytes");
+    assert!(
+        descriptors < callers + OTHER_DESCRIPTORS,
+        "{description}: the daemon used {descriptors} descriptors"
+    );
+}
+
+/// Waits until `condition` returns true.
+async fn eventually(description: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let deadline = tokio::time::Instant::now() + std::time::Duration::from_secs(30);
+    while !condition().await {
+        assert!(tokio::time::Instant::now() < deadline, "timed out waiting: {description}");
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Many bodies of legal size at once, most without their last byte.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unfinished_calls() {
+    attack("unfinished calls", CALLERS, |caller| {
+        let is_ended = caller.is_multiple_of(COMPLETE_EVERY);
+        let body = vec![b' '; BODY_MAX_BYTES - usize::from(!is_ended)];
+        upload(Framing::Length(BODY_MAX_BYTES), body, is_ended)
+    })
+    .await;
+}
+
+/// Many chunked bodies in large chunks, most without their end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_in_chunks() {
+    attack("calls in chunks", CALLERS, |caller| {
+        let is_ended = caller.is_multiple_of(COMPLETE_EVERY);
+        upload(Framing::Chunks(64 << 10), vec![b' '; BODY_MAX_BYTES - 1], is_ended)
+    })
+    .await;
+}
+
+/// Many chunked bodies in chunks of a byte, most without their end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_in_bytes() {
+    attack("calls in bytes", CALLERS, |caller| {
+        let is_ended = caller.is_multiple_of(COMPLETE_EVERY);
+        upload(Framing::Chunks(1), vec![b' '; 200_000], is_ended)
+    })
+    .await;
+}
+
+/// Bodies far over the limit, announced or just sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn excessive_calls() {
+    attack("excessive calls", CALLERS, |caller| {
+        let framing = match caller.is_multiple_of(2) {
+            true => Framing::Length(4_000_000_000),
+            false => Framing::Chunks(64 << 10),
+        };
+        upload(framing, vec![b' '; 3 * BODY_MAX_BYTES], false)
+    })
+    .await;
+}
+
+/// Whole bodies of legal size, each with one long text.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn whole_calls() {
+    attack("whole calls", CALLERS, |_| text_call(BODY_MAX_BYTES - 200)).await;
+}
+
+/// Whole bodies that the daemon keeps as the histories of their programs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stored_calls() {
+    attack("stored calls", CALLERS, |_| text_call(STORED_BYTES)).await;
+}
+
+/// Whole bodies of legal size that consist of many JSON values.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_values() {
+    // An object takes far more memory than an array.
+    for (item, bytes) in [("[]", BODY_MAX_BYTES), ("{\"a\":1}", BODY_MAX_BYTES / 8)] {
+        attack(&format!("many values {item}"), JSON_CALLERS, |_| {
+            let body = json_body("stop", item, bytes);
+            upload(Framing::Length(body.len()), body, true)
+        })
+        .await;
+    }
+}
--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -55,9 +55,14 @@
         }
     }
 
+    /// Id of the running process.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().expect("process is running").id()
+    }
+
     /// Returns the peak resident memory of the process, in bytes.
     pub fn memory_peak(&self) -> u64 {
-        let id = self.child.as_ref().expect("process is running").id();
+        let id = self.id();
         let status =
             std::fs::read_to_string(format!("/proc/{id}/status")).expect("read process status");
         let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
@@ -80,6 +85,33 @@
     }
 }
 
+/// Settings of the processes of a deployment.
+#[derive(Clone, Debug)]
+pub struct ProcessSettings {
+    /// Number of gateways.
+    pub gateways: usize,
+    /// Number of replicas.
+    pub replicas: usize,
+    /// Time in which gateways stop, in seconds.
+    pub grace_s: u32,
+    /// Further lines of the section `[gateway]`.
+    pub gateway: String,
+    /// Further lines of the section `[ledger]`.
+    pub ledger: String,
+}
+
+impl Default for ProcessSettings {
+    fn default() -> Self {
+        ProcessSettings {
+            gateways: 1,
+            replicas: 1,
+            grace_s: 8,
+            gateway: String::new(),
+            ledger: String::new(),
+        }
+    }
+}
+
 /// A deployment of processes, stopped when the value is dropped. `servers` holds
 /// the ledgers first, then the gateways.
 pub struct Processes {
@@ -100,11 +132,20 @@
 
 impl Processes {
     pub async fn start(gateways: usize, replicas: usize) -> Self {
-        Processes::start_with_grace(gateways, replicas, 8).await
+        let settings = ProcessSettings { gateways, replicas, ..ProcessSettings::default() };
+        Processes::start_with(settings).await
     }
 
     /// Like [`Processes::start`], with gateways that stop within `grace_s` seconds.
     pub async fn start_with_grace(gateways: usize, replicas: usize, grace_s: u32) -> Self {
+        let settings =
+            ProcessSettings { gateways, replicas, grace_s, ..ProcessSettings::default() };
+        Processes::start_with(settings).await
+    }
+
+    /// Starts a deployment and waits until its ledgers are members of the layout.
+    pub async fn start_with(settings: ProcessSettings) -> Self {
+        let ProcessSettings { gateways, replicas, grace_s, gateway, ledger } = settings;
         let stop = CancellationToken::new();
         let store = FakeStore::start(stop.clone()).await;
         let mut listed = Vec::new();
@@ -114,7 +155,7 @@
             listed.push(replica);
         }
         store.put("config", "main", configuration(1, &ROUTES));
-        let settings = TempDir::new().expect("create folder");
+        let files = TempDir::new().expect("create folder");
         let folders: Vec<TempDir> =
             (0..LEDGERS).map(|_| TempDir::new().expect("create folder")).collect();
         let mut servers = Vec::new();
@@ -125,7 +166,7 @@
                 Some(folder) => format!(
                     "[instance]\nname = ledger-{number}\ndata_centre = {}\n[ledger]\n\
                      listen = {}\nfolder = {}\nfounding = yes\nfounding_wait_ms = 300\n\
-                     idle_patience_ms = 700\n",
+                     idle_patience_ms = 700\n{ledger}",
                     ["a", "b", "c"][number],
                     free_address(),
                     folder.path().display()
@@ -134,7 +175,8 @@
                     clients.push(free_address());
                     format!(
                         "[instance]\nname = gateway-{number}\ndata_centre = a\n[gateway]\n\
-                         clients = {}\nready = {}\ntunnels = {}\ngrace_s = {grace_s}\n",
+                         clients = {}\nready = {}\ntunnels = {}\ngrace_s = {grace_s}\n\
+                         {gateway}",
                         clients[number - LEDGERS],
                         free_address(),
                         free_address()
@@ -142,7 +184,7 @@
                 }
             };
             text.push_str(&part);
-            let path = settings.path().join(format!("{number}.ini"));
+            let path = files.path().join(format!("{number}.ini"));
             std::fs::write(&path, text).expect("write settings");
             let settings = path.to_string_lossy().into_owned();
             let mut server = ServerProcess { settings, child: None };
@@ -150,7 +192,7 @@
             servers.push(server);
         }
         wait_for_layout(&store).await;
-        Processes { store, replicas: listed, clients, servers, folders, _settings: settings, stop }
+        Processes { store, replicas: listed, clients, servers, folders, _settings: files, stop }
     }
 }
 
