One budget for what clients make gateways and daemons hold

Cause: each body had a bound, their sum had none. Pieces of bodies were kept as handles into read buffers, so a byte could hold kilobytes, and were joined, so a whole body was held twice. A body that stopped short of its end kept its memory for as long as its client's deadline, and its connection as well.

Bodies are copied into blocks of 64 KiB, which are counted before they are allocated and sent as they are. When the budget is used up, requests that stalled give way first, then connections that are closing or idle; requests that were read never do, and a quarter of the budget is left to requests of up to 64 KiB. When all connections are in use, a new one displaces a stalled one.

A refusal is 503 (429 of a daemon) and promises that the request has not run. A body that is late gets 408, which promises the same, instead of 400, which ended the client's attempts.

In calm nothing is refused: a body at the limit needs itself.

--- a/crates/gg-caller/src/chat.rs
+++ b/crates/gg-caller/src/chat.rs
@@ -1,13 +1,13 @@
 //! Chat-completions responses, buffered or streamed.
 
 use bytes::Bytes;
-use gg_http::{Body, json_response};
+use gg_http::{Body, Reservation, json_response};
 use gg_protocol::{Answer, Failure, ProgramId, StepEvent, Usage, clock::wall_ms};
 use http::{HeaderValue, Response, StatusCode, header};
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
-use crate::{errors::failure_response, request::ChatRequest};
+use crate::errors::failure_response;
 
 /// Maximum number of chunks buffered for a slow caller.
 const BUFFERED_CHUNKS_MAX: usize = 64;
@@ -18,13 +18,26 @@
 /// Header that carries the turn's number.
 pub(crate) const TURN_HEADER: &str = "x-gg-turn";
 
+/// How a chat request is answered.
+#[derive(Debug)]
+pub(crate) struct ReplyFormat {
+    /// Requested model.
+    pub(crate) model: String,
+    /// Whether the answer is streamed.
+    pub(crate) stream: bool,
+    /// Whether the last event of a stream holds the usage.
+    pub(crate) include_usage: bool,
+    /// Memory of the call, held until it is answered.
+    pub(crate) _memory: Reservation,
+}
+
 /// Builds the response to a chat request from a step's events.
 pub(crate) async fn respond(
-    request: ChatRequest,
+    reply: ReplyFormat,
     program: ProgramId,
     mut events: mpsc::Receiver<StepEvent>,
 ) -> Response<Body> {
-    if !request.stream {
+    if !reply.stream {
         return respond_buffered(program, events).await;
     }
     let turn = match events.recv().await {
@@ -39,7 +52,7 @@
     };
     let (chunks, body) = mpsc::channel(BUFFERED_CHUNKS_MAX);
     let id = completion_id(&program, turn);
-    tokio::spawn(stream(request, id, events, chunks));
+    tokio::spawn(stream(reply, id, events, chunks));
     let mut response = Response::new(Body::Stream(body));
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -139,12 +152,12 @@
 
 /// Sends a step's events as server-sent events, up to the final one.
 async fn stream(
-    request: ChatRequest,
+    reply: ReplyFormat,
     id: String,
     mut events: mpsc::Receiver<StepEvent>,
     chunks: mpsc::Sender<Bytes>,
 ) {
-    let template = ChunkTemplate { id, model: request.call.model, created: wall_ms() / 1000 };
+    let template = ChunkTemplate { id, model: reply.model.clone(), created: wall_ms() / 1000 };
     let mut first = true;
     let mut sent = 0;
     loop {
@@ -160,7 +173,7 @@
                 delta
             }
             Some(StepEvent::Done { answer, .. }) => {
-                template.end(&answer, sent, first, request.include_usage)
+                template.end(&answer, sent, first, reply.include_usage)
             }
             Some(StepEvent::Failed(failure)) => sse(&failure.to_json()),
             None => sse(&missing_answer_failure().to_json()),
--- a/crates/gg-caller/src/errors.rs
+++ b/crates/gg-caller/src/errors.rs
@@ -1,6 +1,6 @@
 //! Error responses; all have the same format.
 
-use gg_http::{Body, HttpError, json_response};
+use gg_http::{Body, HttpError, MemoryError, json_response};
 use gg_protocol::{Code, Failure};
 use http::{HeaderValue, Response, StatusCode, header};
 
@@ -8,6 +8,10 @@
 /// executed.
 pub(crate) const RAN_HEADER: &str = "x-gg-ran";
 
+/// Delay, in ms, after which a caller may retry that found no memory left. Most requests
+/// take less time.
+const MEMORY_RETRY_MS: u64 = 1_000;
+
 /// Builds the response for a failure.
 pub(crate) fn failure_response(failure: &Failure) -> Response<Body> {
     let status = StatusCode::from_u16(failure.code.status());
@@ -26,10 +30,29 @@
     match err {
         HttpError::TooLarge => Failure::unexecuted(Code::TooLarge, err.to_string())
             .help("send a smaller body, or only the new messages with x-gg-append: yes"),
+        HttpError::NoMemory => memory_failure(MemoryError::Full),
+        HttpError::Timeout => {
+            Failure::unexecuted(Code::BodyTimeout, "the body did not arrive in time")
+        }
         _ => Failure::unexecuted(Code::BadRequest, err.to_string()),
     }
 }
 
+/// Failure for a request that the daemon has no memory for.
+pub(crate) fn memory_failure(err: MemoryError) -> Failure {
+    match err {
+        MemoryError::Full => {
+            Failure::unexecuted(Code::Overloaded, "no memory is left for the request")
+                .help("retry after retry_after seconds")
+                .retry_in(MEMORY_RETRY_MS)
+        }
+        MemoryError::TooLarge => {
+            Failure::unexecuted(Code::TooLarge, "the body takes more memory than a request may")
+                .help("send a smaller body with fewer JSON values, or only the new messages")
+        }
+    }
+}
+
 /// Failure for an invalid request.
 pub(crate) fn bad_request(message: impl Into<String>, help: &str) -> Failure {
     Failure::unexecuted(Code::BadRequest, message).help(help)
--- a/crates/gg-caller/src/routes.rs
+++ b/crates/gg-caller/src/routes.rs
@@ -1,6 +1,6 @@
 //! Routing of requests by method and path.
 
-use gg_http::{Body, ServerLimits, json_response, read_body};
+use gg_http::{Body, HeldBody, ServerLimits, json_response, read_body};
 use gg_protocol::{
     Call, Code, Failure, Name, ProgramId, ServiceCall, StartReply, StartRequest, StepEvent,
     StepRequest, ids::is_name,
@@ -12,7 +12,7 @@
 
 use crate::{
     Backend, CallerSettings,
-    chat::{done_response, missing_answer, respond, with_turn},
+    chat::{ReplyFormat, done_response, missing_answer, respond, with_turn},
     errors::{bad_request, body_failure, failure_response},
     request::{ChatRequest, RequestContext},
 };
@@ -84,13 +84,18 @@
 
 impl<B: Backend> RequestHandler<'_, B> {
     async fn chat(self, request: Request<Incoming>) -> Result<Response<Body>, Failure> {
-        let body = read_body(request.into_body(), self.limits).await;
-        let body = body.map_err(|err| body_failure(&err))?;
-        let chat = ChatRequest::read(&body, self.context.append)?;
+        let body = read_body(request, self.limits).await;
+        let HeldBody { content, memory } = body.map_err(|err| body_failure(&err))?;
+        let bytes = content.to_bytes();
+        drop(content);
+        let ChatRequest { call, stream, include_usage } =
+            ChatRequest::read(&bytes, self.context.append)?;
+        drop(bytes);
+        let model = call.model.clone();
+        let reply = ReplyFormat { model, stream, include_usage, _memory: memory };
         let program = self.program_or_new().await?;
-        let call = Call::Chat(chat.call.clone());
-        let events = self.step(program.clone(), call, chat.stream);
-        Ok(respond(chat, program, events).await)
+        let events = self.step(program.clone(), Call::Chat(call), stream);
+        Ok(respond(reply, program, events).await)
     }
 
     async fn service(
@@ -99,9 +104,9 @@
         path: String,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Failure> {
-        let body = read_body(request.into_body(), self.limits).await;
-        let body = body.map_err(|err| body_failure(&err))?;
-        let body = String::from_utf8(body.into())
+        let body = read_body(request, self.limits).await;
+        let HeldBody { content, memory: _memory } = body.map_err(|err| body_failure(&err))?;
+        let body = String::from_utf8(content.to_bytes().into())
             .map_err(|_| bad_request("body is not UTF-8", "send text or JSON"))?;
         if !is_name(service) {
             return Err(bad_request(
--- a/crates/gg-caller/src/server.rs
+++ b/crates/gg-caller/src/server.rs
@@ -9,7 +9,7 @@
 use crate::{Backend, routes::handle};
 
 /// Settings of the HTTP interface for callers.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct CallerSettings {
     /// Limits of the listener.
     pub limits: ServerLimits,
@@ -31,6 +31,7 @@
     stop: CancellationToken,
     backend: B,
 ) {
-    let handler = move |request| handle(backend.clone(), settings, request);
-    gg_http::serve(listener, settings.limits, stop, handler).await;
+    let limits = settings.limits.clone();
+    let handler = move |request| handle(backend.clone(), settings.clone(), request);
+    gg_http::serve(listener, limits, stop, handler).await;
 }
--- a/crates/gg-daemon/src/copies.rs
+++ b/crates/gg-daemon/src/copies.rs
@@ -9,12 +9,10 @@
 };
 
 use gg_protocol::JournalId;
+use gg_settings::COPIES_MAX_BYTES;
 
 use crate::lock::lock;
 
-/// Maximum size of the copies held for all daemons.
-const COPIES_MAX_BYTES: usize = 64 << 20;
-
 /// Maximum number of collected journals that are remembered.
 const COLLECTED_MAX: usize = 100_000;
 
--- a/crates/gg-daemon/src/node.rs
+++ b/crates/gg-daemon/src/node.rs
@@ -97,7 +97,8 @@
         entry: entry.clone(),
         stop: stop.clone(),
     };
-    tokio::spawn(gg_operator::serve(operators, shutdown.child_token(), operator_api));
+    let memory = shared.memory.clone();
+    tokio::spawn(gg_operator::serve(operators, memory, shutdown.child_token(), operator_api));
     let caller_server = tokio::spawn(gg_caller::serve(
         callers,
         caller_settings(&shared),
@@ -128,6 +129,7 @@
             body_bytes: listen.body_bytes,
             head_timeout: listen.head_timeout,
             stop_timeout: shared.settings.timing.drain,
+            memory: shared.memory.clone(),
             ..ServerLimits::default()
         },
         max_duration: shared.settings.timing.request,
--- a/crates/gg-daemon/src/shared.rs
+++ b/crates/gg-daemon/src/shared.rs
@@ -10,6 +10,7 @@
 
 use gg_dispatch::{Dispatcher, Member, Quarantine, RetryBudget, Verdict};
 use gg_engine::Engine;
+use gg_http::MemoryBudget;
 use gg_membership::Membership;
 use gg_peer::PeerPool;
 use gg_platform::{Platform, PlatformSettings};
@@ -31,6 +32,8 @@
     pub(crate) engine: Engine,
     pub(crate) service: Service,
     pub(crate) copies: Copies,
+    /// Budget for the memory that callers make the daemon hold.
+    pub(crate) memory: MemoryBudget,
     pub(crate) forecast: Forecast,
     pub(crate) metrics: Metrics,
     pub(crate) quarantine: Mutex<Quarantine>,
@@ -70,6 +73,7 @@
             engine: Engine::default(),
             service: Service::default(),
             copies: Copies::default(),
+            memory: MemoryBudget::new(settings.caller_memory()),
             forecast: Forecast::default(),
             metrics: Metrics::new(&settings.log, &settings.instance),
             quarantine: Mutex::default(),
--- a/crates/gg-fakes/src/service.rs
+++ b/crates/gg-fakes/src/service.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use gg_http::{Body, ServerLimits, json_response, read_body};
+use gg_http::{Body, HeldBody, ServerLimits, json_response, read_body};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
@@ -70,8 +70,10 @@
     }
 
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
-        let body =
-            read_body(request.into_body(), &ServerLimits::default()).await.unwrap_or_default();
+        let body = read_body(request, &ServerLimits::default())
+            .await
+            .map(HeldBody::into_bytes)
+            .unwrap_or_default();
         let body = String::from_utf8_lossy(&body).into_owned();
         let (delay, count) = {
             let mut state = self.lock();
--- a/crates/gg-gateway/src/crash.rs
+++ b/crates/gg-gateway/src/crash.rs
@@ -13,7 +13,7 @@
 use tokio::{runtime::Handle, time};
 
 use crate::{
-    proxy::{Job, hash},
+    proxy::{Job, hash, hash_parts},
     replica::{Reached, Replica},
     state::State,
 };
@@ -42,7 +42,8 @@
 fn fingerprint(job: &Job) -> RequestFingerprint {
     let peer = job.head.extensions.get::<PeerAddress>();
     let caller = peer.map_or(0, |peer| hash(peer.0.to_string().as_bytes()));
-    RequestFingerprint { head: head_digest(job), body: hash(&job.body), caller }
+    let body = hash_parts(job.body.iter().map(AsRef::as_ref));
+    RequestFingerprint { head: head_digest(job), body, caller }
 }
 
 /// Refuses a request whose fingerprint matches requests that crashed replicas.
--- a/crates/gg-gateway/src/ingress.rs
+++ b/crates/gg-gateway/src/ingress.rs
@@ -26,19 +26,20 @@
     base: ServerLimits,
     stop: CancellationToken,
 ) {
+    let connections = base.connections;
     let limits = {
         let state = state.clone();
         move || {
             let limits = state.table().map_or_else(ClientLimits::default, |table| table.limits);
             ServerLimits {
                 head_timeout: limits.idle_timeout * IDLE_FACTOR,
-                head_bytes: Some(limits.head_bytes),
-                ..base
+                head_bytes: limits.head_bytes,
+                ..base.clone()
             }
         }
     };
     let handler = move |request: Request<Incoming>| proxy::handle(state.clone(), request);
-    gg_http::serve_with(listener, base.connections, limits, stop, handler).await;
+    gg_http::serve_with(listener, connections, limits, stop, handler).await;
 }
 
 /// Responds to the platform's readiness check.
@@ -47,6 +48,7 @@
     state: Arc<State<D>>,
     stop: CancellationToken,
 ) {
+    let limits = ServerLimits { memory: state.memory.clone(), ..ServerLimits::default() };
     let handler = move |_request: Request<Incoming>| {
         let mut response = Response::new(Full::new(Bytes::new()));
         if !state.is_ready() {
@@ -54,5 +56,5 @@
         }
         async move { response }
     };
-    gg_http::serve(listener, ServerLimits::default(), stop, handler).await;
+    gg_http::serve(listener, limits, stop, handler).await;
 }
--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use gg_http::{ServerLimits, listen_socket};
+use gg_http::{MemoryBudget, ServerLimits, listen_socket};
 use gg_ledger::{
     Capacity, LayoutController, LayoutControllerSettings, Ledger, Member, Node, NodeError,
     NodeSettings, ReplacementTimeouts,
@@ -69,7 +69,9 @@
     );
     let rate = settings.accounts.rate;
     let centre = settings.centre.clone();
-    let state = State::new(deployment, centre, ledger, connector, &settings.bounds, rate, metrics);
+    let memory = MemoryBudget::new(settings.client_memory);
+    let state = State::new(deployment, centre, ledger, connector, &settings.bounds, rate, metrics)
+        .with_memory(memory.clone());
     let state = Arc::new(if settings.paces_replicas { state.with_replica_pace() } else { state });
     if let Some(address) = settings.metrics {
         let refresh = {
@@ -96,8 +98,10 @@
     let base = ServerLimits {
         connections: settings.connections,
         stop_timeout: settings.stop_timeout.saturating_sub(NOT_READY_TIME + STOP_MARGIN),
+        memory,
         ..ServerLimits::default()
     };
+    let stop_timeout = base.stop_timeout;
     let serving =
         tokio::spawn(ingress::serve_clients(clients, state.clone(), base, listener_stop.clone()));
     log::info!("event=started role=gateway clients={}", settings.clients);
@@ -109,10 +113,10 @@
     carried.close();
     let last_call = state.last_call.clone();
     tokio::spawn(async move {
-        time::sleep(base.stop_timeout.saturating_sub(LAST_CALL_TIME)).await;
+        time::sleep(stop_timeout.saturating_sub(LAST_CALL_TIME)).await;
         last_call.cancel();
     });
-    let (served, _) = tokio::join!(serving, time::timeout(base.stop_timeout, carried.wait()));
+    let (served, _) = tokio::join!(serving, time::timeout(stop_timeout, carried.wait()));
     if let Err(err) = served {
         log::error!("event=listener_failed error={err}");
     }
--- a/crates/gg-gateway/src/pool.rs
+++ b/crates/gg-gateway/src/pool.rs
@@ -10,11 +10,9 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use gg_http::connect_socket;
+use gg_http::{Blocks, connect_socket};
 use gg_protocol::Name;
 use http::{HeaderMap, Request, Response, header};
-use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::{
@@ -41,7 +39,7 @@
 /// A connection that can send a request.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Blocks>,
     /// When the connection was opened.
     pub(crate) opened: Instant,
     /// Set for a connection through another gateway.
@@ -74,8 +72,8 @@
     /// Sends a request. The error returns a request that was not sent.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        request: Request<Blocks>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Blocks>>> {
         self.sender.try_send_request(request).await
     }
 }
--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -5,19 +5,27 @@
 
 use bytes::Bytes;
 use futures::Stream;
+use gg_http::{Blocks, ClientConnection, HeldBody, HttpError, Reservation};
 use gg_ledger::TurnKey;
 use gg_protocol::{Code, Failure, Name};
 use gg_route::{
     Account, Deployment, Envelope, EnvelopeError, PromptPart, Route, RouteKind, RouteTable, Service,
 };
 use http::{Request, Response, StatusCode, header, request::Parts};
-use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
+use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use tokio::time::{self, Instant};
+use tokio::time::Instant;
 
 use crate::{
-    call, crash, credit::HeldCredit, owned_name, relay::RelayError, response, retry::Attempts,
-    state::State, stream,
+    call::{self, refusal},
+    crash,
+    credit::HeldCredit,
+    owned_name,
+    relay::RelayError,
+    response,
+    retry::Attempts,
+    state::State,
+    stream,
 };
 
 /// Retry time for requests that arrive before a configuration is known.
@@ -29,7 +37,9 @@
 /// A request that is ready to be sent.
 pub(crate) struct Job {
     pub(crate) head: Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: Blocks,
+    /// Memory that the body takes.
+    pub(crate) _memory: Reservation,
     /// Whether the client announced a body; it may turn out to be empty.
     pub(crate) has_body: bool,
     pub(crate) envelope: Envelope,
@@ -246,11 +256,14 @@
     let limit = envelope.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started_at + limit;
     let has_body = !body.is_end_stream();
-    let body = read_body(body, table.limits.body_bytes, deadline).await?;
+    let connection = head.extensions.remove::<ClientConnection>().unwrap_or_default();
+    let body = connection.read(body, table.limits.body_bytes, deadline).await;
+    let HeldBody { content: body, memory } = body.map_err(|err| body_failure(&err))?;
     let credit = HeldCredit::default();
     Ok(Job {
         head,
         body,
+        _memory: memory,
         has_body,
         envelope,
         route,
@@ -298,24 +311,26 @@
 /// FNV-1a hash with its upper half folded into the lower one. All gateways
 /// compute the same value for the same key, so they choose alike.
 pub(crate) fn hash(key: &[u8]) -> u64 {
-    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    let hash = key.iter().copied().fold(0xcbf2_9ce4_8422_2325, step);
+    hash_parts([key])
+}
+
+/// The hash of a key that consists of several parts.
+pub(crate) fn hash_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    let hash = parts.into_iter().flatten().fold(0xcbf2_9ce4_8422_2325, step);
     hash ^ (hash >> 32)
 }
 
-async fn read_body(body: Incoming, max: usize, limit: Instant) -> Result<Bytes, Failure> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if body.size_hint().lower() > max as u64 {
-        return Err(Failure::unexecuted(Code::TooLarge, "the body is larger than the limit"));
-    }
-    match time::timeout_at(limit, Limited::new(body, max).collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-            Err(Failure::unexecuted(Code::TooLarge, "the body is larger than the limit"))
+/// The failure of a request whose body was not read. It was not sent to a replica.
+fn body_failure(err: &HttpError) -> Failure {
+    match err {
+        HttpError::TooLarge => {
+            Failure::unexecuted(Code::TooLarge, "the body is larger than the limit")
+        }
+        HttpError::NoMemory => refusal("no memory is left for the body"),
+        HttpError::Timeout => {
+            Failure::unexecuted(Code::BodyTimeout, "the body did not arrive in time")
         }
-        Ok(Err(err)) => Err(Failure::unexecuted(Code::BadRequest, err.to_string())),
-        Err(_) => Err(Failure::unexecuted(Code::BadRequest, "the body did not arrive in time")),
+        err => Failure::unexecuted(Code::BadRequest, err.to_string()),
     }
 }
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -344,8 +344,8 @@
             return Ok(());
         }
         let (previous, input) = match &self.whole_history {
-            None => (job.previous(), job.body.clone()),
-            Some(history) => (None, [history.as_ref(), &job.body].concat().into()),
+            None => (job.previous(), job.body.to_bytes()),
+            Some(history) => (None, [&history[..], &job.body.to_bytes()].concat().into()),
         };
         let record = TurnRecord {
             turn: job.owned(job.id()),
--- a/crates/gg-gateway/src/resume.rs
+++ b/crates/gg-gateway/src/resume.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
+use gg_http::{Blocks, Reservation};
 use gg_ledger::OpenedTurn;
 use gg_route::{Deployment, UpstreamId};
 use http::StatusCode;
@@ -19,7 +19,9 @@
 /// State needed to send a turn again.
 #[derive(Debug)]
 pub(crate) struct Resume {
-    pub(crate) prompt: Bytes,
+    pub(crate) prompt: Blocks,
+    /// Memory of the prompt.
+    pub(crate) _memory: Reservation,
     pub(crate) opened: OpenedTurn,
     pub(crate) attempts: Attempts,
     /// Replicas that received the turn.
--- a/crates/gg-gateway/src/send.rs
+++ b/crates/gg-gateway/src/send.rs
@@ -3,9 +3,10 @@
 use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use gg_http::Blocks;
 use gg_route::{Deployment, ResponseMarks};
 use http::{HeaderMap, Request, Response, Uri, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quick_error::quick_error;
 use tokio::time::{self, Instant};
@@ -75,7 +76,7 @@
 /// What to send for a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Outgoing<'a> {
-    pub(crate) body: &'a Bytes,
+    pub(crate) body: &'a Blocks,
     /// Id of the event after which a stream is to continue.
     pub(crate) after: Option<&'a str>,
 }
@@ -327,10 +328,10 @@
     job: &Job,
     outgoing: Outgoing<'_>,
     replica: &Replica,
-) -> Request<Full<Bytes>> {
+) -> Request<Blocks> {
     let body = outgoing.body;
     let remaining = job.deadline.saturating_duration_since(Instant::now());
-    let mut request = Request::new(Full::new(body.clone()));
+    let mut request = Request::new(body.clone());
     *request.method_mut() = job.head.method.clone();
     *request.uri_mut() = origin_form(&job.head.uri);
     let mut headers = job.head.headers.clone();
@@ -361,7 +362,7 @@
     state: &Arc<State<D>>,
     job: &Job,
     replica: &Arc<Replica>,
-    mut request: Request<Full<Bytes>>,
+    mut request: Request<Blocks>,
     crash_guard: &mut CrashGuard<D>,
 ) -> Result<(Connection, Response<Incoming>), Outcome> {
     for _ in 0..REUSE_ATTEMPTS_MAX {
@@ -428,7 +429,7 @@
 /// Why a connection carried no response.
 enum SendError {
     /// Nothing of the request was sent.
-    Unsent(Box<Request<Full<Bytes>>>),
+    Unsent(Box<Request<Blocks>>),
     /// The connection was lost after that.
     Lost,
 }
@@ -440,7 +441,7 @@
     replica: &Arc<Replica>,
     mut connection: Connection,
     kind: &str,
-    request: Request<Full<Bytes>>,
+    request: Request<Blocks>,
     crash_guard: &mut CrashGuard<D>,
 ) -> Result<(Connection, Response<Incoming>), SendError> {
     crash_guard.record_sent(connection.opened);
--- a/crates/gg-gateway/src/state.rs
+++ b/crates/gg-gateway/src/state.rs
@@ -10,6 +10,7 @@
 };
 
 use gg_dispatch::{Admission, RetryBudget};
+use gg_http::MemoryBudget;
 use gg_ledger::Ledger;
 use gg_metrics::Metrics;
 use gg_platform::{CopyAges, age_limit};
@@ -52,6 +53,8 @@
     pub(crate) programs: Mutex<Programs>,
     /// Memory budget for buffered responses of replicas.
     pub(crate) buffer_budget: BufferBudget,
+    /// Budget for the memory that clients make the gateway hold.
+    pub(crate) memory: MemoryBudget,
     /// How recent the configuration has to be for its keys to be trusted.
     pub(crate) revocation: Revocation,
     /// Whether the keys were trusted when that was last checked.
@@ -93,6 +96,7 @@
             admissions: Mutex::default(),
             programs: Mutex::default(),
             buffer_budget: BufferBudget::default(),
+            memory: MemoryBudget::default(),
             revocation: Revocation::new(bounds.revocation),
             has_trusted_keys: AtomicBool::new(true),
             table: RwLock::default(),
@@ -103,6 +107,11 @@
         }
     }
 
+    /// Sets the budget for the memory that clients make the gateway hold.
+    pub(crate) fn with_memory(self, memory: MemoryBudget) -> Self {
+        State { memory, ..self }
+    }
+
     /// Gives new replicas their own pace. Called before any replica is listed.
     pub(crate) fn with_replica_pace(mut self) -> Self {
         self.fleet = Arc::new(Fleet::new(FleetSettings {
@@ -167,6 +176,10 @@
             ("replicas_open", open),
             ("replica_load", load),
             ("held_bytes", self.buffer_budget.bytes() as u64),
+            ("client_bytes", self.memory.bytes() as u64),
+            ("client_bytes_max", self.memory.max_bytes() as u64),
+            ("clients_evicted", self.memory.evicted()),
+            ("clients_refused", self.memory.refused()),
             ("crash_facts", self.ledger.crashes().len() as u64),
             ("paths_lost", self.connector.lost() as u64),
             ("cut_off", u64::from(self.connector.is_cut_off())),
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::Stream;
+use gg_http::{Blocks, MemoryError};
 use gg_ledger::{LedgerError, OpenRequest, OpenedTurn, TEXT_MAX_BYTES};
 use gg_protocol::{Code, Failure};
 use gg_route::Deployment;
@@ -48,6 +49,11 @@
     if job.route.stores_turns && body.len() > TEXT_MAX_BYTES {
         return Err(Failure::unexecuted(Code::TooLarge, TOO_LONG));
     }
+    let memory = state.memory.reserve(turn_memory(job, &opened)).await;
+    let memory = memory.map_err(|err| match err {
+        MemoryError::Full => refusal("no memory is left for the prompt"),
+        MemoryError::TooLarge => Failure::unexecuted(Code::TooLarge, TOO_LONG),
+    })?;
     let mut attempts = job.attempts();
     let mut tried = Vec::new();
     loop {
@@ -82,8 +88,13 @@
         let mut headers = sent.response.headers().clone();
         strip_hop_headers(&mut headers);
         let whole_history = opened.needs_history.then(|| opened.history.clone());
-        let resume =
-            job.route.is_resumable.then(|| Resume { prompt: body, opened, attempts, tried });
+        let resume = job.route.is_resumable.then(|| Resume {
+            prompt: body,
+            _memory: memory,
+            opened,
+            attempts,
+            tried,
+        });
         let stream = relay(Relay::new(settlement, sent, started_at, whole_history, resume));
         let mut response = Response::new(Either::Right(StreamBody::new(stream)));
         *response.headers_mut() = headers;
@@ -134,13 +145,15 @@
     Some((job.envelope.turn.budget?, max_output))
 }
 
+/// Memory of a turn in bytes, beside its body: its history and, if it is stored, the text
+/// of its record.
+fn turn_memory(job: &Job, opened: &OpenedTurn) -> usize {
+    let history = opened.history.len();
+    let record = if opened.needs_history { history + job.body.len() } else { job.body.len() };
+    history + if job.route.stores_turns { record } else { 0 }
+}
+
 /// The history followed by the new input.
-fn full_prompt(opened: &OpenedTurn, input: &Bytes) -> Bytes {
-    if opened.history.is_empty() {
-        return input.clone();
-    }
-    let mut prompt = BytesMut::with_capacity(opened.history.len() + input.len());
-    prompt.extend_from_slice(&opened.history);
-    prompt.extend_from_slice(input);
-    prompt.freeze()
+fn full_prompt(opened: &OpenedTurn, input: &Blocks) -> Blocks {
+    [opened.history.clone()].into_iter().chain(input.iter().cloned()).collect()
 }
--- a/crates/gg-http/src/client.rs
+++ b/crates/gg-http/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client as Pool, connect::HttpConnector},
@@ -146,15 +146,6 @@
     }
 }
 
-/// Reads a whole body; fails if it is larger than `max_bytes` bytes.
-pub(crate) async fn collect(body: Incoming, max_bytes: usize) -> Result<Bytes, HttpError> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => Err(HttpError::TooLarge),
-        Err(err) => Err(HttpError::ConnectionLost(err.to_string())),
-    }
-}
-
 /// Formats an error followed by all its causes.
 fn error_chain(err: &dyn std::error::Error) -> String {
     let mut text = err.to_string();
--- a/crates/gg-http/src/error.rs
+++ b/crates/gg-http/src/error.rs
@@ -27,6 +27,10 @@
         TooLarge {
             display("body is larger than the limit")
         }
+        /// The memory budget for clients is used up; the body was not read.
+        NoMemory {
+            display("no memory is left for the body")
+        }
         /// The body is not the expected JSON value.
         Decode(err: serde_json::Error) {
             from()
--- a/crates/gg-http/src/server.rs
+++ b/crates/gg-http/src/server.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
 use hyper::{
     body::{Body as HttpBody, Incoming},
     server::conn::http1,
@@ -11,14 +12,19 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{OwnedSemaphorePermit, Semaphore},
     time,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{Body, HttpError, client};
+use crate::{
+    Body, ClientConnection, MemoryBudget,
+    client_socket::{ClientSocket, ConnectionState},
+    memory_budget::Stage,
+};
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -27,7 +33,7 @@
 pub struct PeerAddress(pub IpAddr);
 
 /// Limits of a server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ServerLimits {
     /// Maximum number of open connections; further ones wait in the kernel's accept
     /// queue.
@@ -38,10 +44,12 @@
     pub body_timeout: Duration,
     /// Maximum size of a request body.
     pub body_bytes: usize,
-    /// Maximum size of a request head, if lower than the default limit of hyper.
-    pub head_bytes: Option<usize>,
+    /// Maximum size of a request head.
+    pub head_bytes: usize,
     /// Maximum time that a graceful shutdown waits for requests in flight.
     pub stop_timeout: Duration,
+    /// Budget for the memory that clients make the process hold.
+    pub memory: MemoryBudget,
 }
 
 impl Default for ServerLimits {
@@ -51,8 +59,9 @@
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
             body_bytes: 8 << 20,
-            head_bytes: None,
+            head_bytes: 64 << 10,
             stop_timeout: Duration::from_secs(60),
+            memory: MemoryBudget::default(),
         }
     }
 }
@@ -60,13 +69,24 @@
 /// Delay after a failed accept, usually caused by too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// While less than this share of the connections is free, each connection is
+/// While no more than this share of the connections is free, each connection is
 /// closed after its response, so that idle connections don't block new clients.
 const KEEP_ALIVE_FREE_SHARE: f64 = 0.5;
 
 /// Minimum size of the read buffer that hyper accepts.
 const READ_BUFFER_MIN_BYTES: usize = 8 << 10;
 
+/// Memory that is counted for an open connection: its task, its read buffer and what is
+/// buffered to be written.
+const CONNECTION_BYTES: usize = 16 << 10;
+
+/// Size of the kernel's receive buffer of a connection, which fills up while nothing is
+/// read.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
+/// Interval between attempts to free a slot for a new connection.
+const SLOT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Serves requests until `stop` is cancelled, then finishes the requests in
 /// flight.
 pub async fn serve<H, F, B>(
@@ -79,7 +99,8 @@
     F: Future<Output = Response<B>> + Send + 'static,
     B: HttpBody<Data = Bytes, Error: Into<BoxError>> + Send + 'static,
 {
-    serve_with(listener, limits.connections, move || limits, stop, handler).await;
+    let connections = limits.connections;
+    serve_with(listener, connections, move || limits.clone(), stop, handler).await;
 }
 
 /// Like [`serve`], but calls `limits` anew for each connection and for the shutdown.
@@ -97,8 +118,9 @@
 {
     let tasks = TaskTracker::new();
     let slots = Arc::new(Semaphore::new(connections));
+    // Accepted sockets inherit it.
+    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     loop {
-        let slot = slots.clone().acquire_owned().await;
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => break,
@@ -107,11 +129,23 @@
             time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        let limits = limits();
+        let memory = limits.memory.reservation(Stage::Idle);
+        let slot = tokio::select! {
+            slot = free_slot(&slots, &limits.memory) => slot,
+            () = stop.cancelled() => break,
+        };
+        tokio::select! {
+            () = memory.grow_patiently(CONNECTION_BYTES) => {}
+            () = stop.cancelled() => break,
+        }
         let free_slots = FreeSlots {
             slots: slots.clone(),
             min_free: (connections as f64 * KEEP_ALIVE_FREE_SHARE) as usize,
         };
-        let connection = connection(socket, limits(), stop.clone(), free_slots, handler.clone());
+        let state = ConnectionState::new(memory);
+        let connection =
+            connection(socket, state, limits, stop.clone(), free_slots, handler.clone());
         tasks.spawn(async move {
             connection.await;
             drop(slot);
@@ -122,6 +156,20 @@
     let _ = time::timeout(limits().stop_timeout, tasks.wait()).await;
 }
 
+/// Takes a connection slot. While none is free, connections whose clients keep them
+/// without making progress are given up.
+async fn free_slot(slots: &Arc<Semaphore>, memory: &MemoryBudget) -> OwnedSemaphorePermit {
+    loop {
+        if let Ok(slot) = slots.clone().try_acquire_owned() {
+            return slot;
+        }
+        memory.evict_worst();
+        if let Ok(Ok(slot)) = time::timeout(SLOT_RETRY_DELAY, slots.clone().acquire_owned()).await {
+            return slot;
+        }
+    }
+}
+
 /// Availability of connection slots.
 struct FreeSlots {
     slots: Arc<Semaphore>,
@@ -130,12 +178,13 @@
 
 impl FreeSlots {
     fn is_low(&self) -> bool {
-        self.slots.available_permits() < self.min_free
+        self.slots.available_permits() <= self.min_free
     }
 }
 
 async fn connection<H, F, B>(
     socket: TcpStream,
+    state: Arc<ConnectionState>,
     limits: ServerLimits,
     stop: CancellationToken,
     free_slots: FreeSlots,
@@ -147,40 +196,57 @@
 {
     let _ = socket.set_nodelay(true);
     let peer = socket.peer_addr().ok().map(|address| PeerAddress(address.ip()));
+    let client = ClientConnection { budget: limits.memory.clone(), state: Some(state.clone()) };
     let service = service_fn(|mut request: Request<Incoming>| {
+        state.memory.enter(Stage::Working);
+        state.set_unread(!request.body().is_end_stream());
+        request.extensions_mut().insert(client.clone());
         if let Some(peer) = peer {
             request.extensions_mut().insert(peer);
         }
         // Boxed, as hyper reserves memory for the future on idle connections too.
         let response = Box::pin(handler(request));
         let is_low = free_slots.is_low();
+        let in_progress = InProgress(state.clone());
         async move {
             let mut response = response.await;
             if is_low {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            // The request is in progress until its response was written.
+            Ok::<_, Infallible>(response.map(|body| {
+                body.map_err(move |err| {
+                    let _in_progress = &in_progress;
+                    err
+                })
+            }))
         }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(limits.head_timeout);
-    if let Some(bytes) = limits.head_bytes {
-        builder.max_buf_size(bytes.max(READ_BUFFER_MIN_BYTES));
-    }
-    let connection = builder.serve_connection(TokioIo::new(socket), service);
-    let mut connection = pin!(connection);
+    let buffer_max = limits.head_bytes.max(READ_BUFFER_MIN_BYTES);
+    builder.max_buf_size(buffer_max);
+    let socket = ClientSocket::new(socket, state.clone(), buffer_max);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = state.memory.evicted() => return,
         () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = state.memory.evicted() => {}
+    }
 }
 
-/// Reads the whole body of a request within the limits of the server.
-pub async fn read_body(body: Incoming, limits: &ServerLimits) -> Result<Bytes, HttpError> {
-    let whole = client::collect(body, limits.body_bytes);
-    time::timeout(limits.body_timeout, whole).await.unwrap_or(Err(HttpError::Timeout))
+/// A request whose response was not yet written to its end.
+struct InProgress(Arc<ConnectionState>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.memory.enter_from(Stage::Working, Stage::Idle);
+    }
 }
 
 /// Creates a JSON response.
--- a/crates/gg-operator/src/server.rs
+++ b/crates/gg-operator/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server of the operator API.
 
-use gg_http::{Body, ServerLimits, json_response, read_body};
+use gg_http::{Body, MemoryBudget, ServerLimits, json_response, read_body};
 use gg_protocol::{Document, Name, ProgramId};
 use gg_settings::parse_configuration;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
@@ -16,11 +16,18 @@
 /// the document.
 pub(crate) const FORCE_HEADER: &str = "x-gg-force";
 
-/// Serves the operator API until `stop` is cancelled.
-pub async fn serve<B: OperatorBackend>(listener: TcpListener, stop: CancellationToken, backend: B) {
-    let limits = ServerLimits { connections: 256, ..ServerLimits::default() };
-    let handler = move |request| handle(backend.clone(), limits, request);
-    gg_http::serve(listener, limits, stop, handler).await;
+/// Serves the operator API until `stop` is cancelled. What clients make the process hold
+/// counts in `memory`.
+pub async fn serve<B: OperatorBackend>(
+    listener: TcpListener,
+    memory: MemoryBudget,
+    stop: CancellationToken,
+    backend: B,
+) {
+    let limits = ServerLimits { connections: 256, memory, ..ServerLimits::default() };
+    let server_limits = limits.clone();
+    let handler = move |request| handle(backend.clone(), limits.clone(), request);
+    gg_http::serve(listener, server_limits, stop, handler).await;
 }
 
 async fn handle<B: OperatorBackend>(
@@ -83,8 +90,8 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let forced = is_forced(request.headers());
-    let body = match read_body(request.into_body(), limits).await {
-        Ok(body) => body,
+    let body = match read_body(request, limits).await {
+        Ok(body) => body.into_bytes(),
         Err(err) => return error(StatusCode::BAD_REQUEST, &err.to_string(), ""),
     };
     let text = String::from_utf8_lossy(&body);
--- a/crates/gg-protocol/src/failure.rs
+++ b/crates/gg-protocol/src/failure.rs
@@ -68,6 +68,8 @@
     Stopping,
     /// The request exceeds the size limit.
     TooLarge,
+    /// The request's body did not arrive in time.
+    BodyTimeout,
     /// The caller disconnected or ended the program.
     Cancelled,
     /// Internal error of the daemon.
@@ -90,6 +92,7 @@
             Code::UpstreamFailed => 502,
             Code::PlatformUnavailable | Code::HomeUnavailable | Code::Stopping => 503,
             Code::TooLarge => 413,
+            Code::BodyTimeout => 408,
             Code::Cancelled => 499,
             Code::Internal => 500,
         }
@@ -114,6 +117,7 @@
             Code::HomeUnavailable => "home_unavailable",
             Code::Stopping => "stopping",
             Code::TooLarge => "too_large",
+            Code::BodyTimeout => "body_timeout",
             Code::Cancelled => "cancelled",
             Code::Internal => "internal",
         }
--- a/crates/gg-settings/src/daemon.rs
+++ b/crates/gg-settings/src/daemon.rs
@@ -25,6 +25,8 @@
     pub data: String,
     /// Number of worker threads.
     pub workers: usize,
+    /// Memory of the machine, in bytes.
+    pub memory_bytes: usize,
     /// Addresses and limits of the listeners.
     pub listen: ListenSettings,
     /// Address of the platform, as `ip:port`.
@@ -146,6 +148,7 @@
             centre: "centre".into(),
             data: String::new(),
             workers: 2,
+            memory_bytes: 256 << 20,
             listen: ListenSettings::default(),
             platform: "127.0.0.1:7000".into(),
             platform_timeout: Duration::from_secs(2),
@@ -159,7 +162,24 @@
     }
 }
 
+/// Memory that a daemon needs for itself, in bytes: its threads, the configuration and
+/// the programs without their texts.
+const OWN_BYTES: usize = 48 << 20;
+
+/// Memory for records of other daemons' journals, in bytes.
+pub const COPIES_MAX_BYTES: usize = 64 << 20;
+
+/// Memory that callers may make a daemon hold at least, in bytes, whatever else the
+/// settings reserve.
+const CALLERS_MIN_BYTES: usize = 16 << 20;
+
 impl DaemonSettings {
+    /// Memory that callers may make the daemon hold, in bytes.
+    pub fn caller_memory(&self) -> usize {
+        let reserved = OWN_BYTES + self.backlog_bytes + COPIES_MAX_BYTES;
+        self.memory_bytes.saturating_sub(reserved).max(CALLERS_MIN_BYTES)
+    }
+
     /// Parses the text of `file`; on failure returns all faults.
     pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
         let ini = match Ini::load_from_str(text) {
@@ -215,6 +235,7 @@
     let centre = instance_name(&instance, "data_centre");
     let data = instance.text_or("data", "");
     let workers = instance.number("workers", default.workers, 1, 64);
+    let memory_mb = instance.number("memory_mb", default.memory_bytes >> 20, 64, 1 << 20);
     instance.finish();
     let platform = section("platform");
     let platform_address = platform.address("address", &default.platform);
@@ -236,6 +257,7 @@
         centre,
         data,
         workers,
+        memory_bytes: memory_mb << 20,
         listen,
         platform: platform_address,
         platform_timeout,
--- a/crates/gg-settings/src/lib.rs
+++ b/crates/gg-settings/src/lib.rs
@@ -13,7 +13,9 @@
 
 pub use accounts::{AccountSettings, RateSettings};
 pub use configuration::{Draft, parse_configuration, print_document};
-pub use daemon::{DaemonSettings, ListenSettings, LogSettings, SAMPLE, TimingSettings};
+pub use daemon::{
+    COPIES_MAX_BYTES, DaemonSettings, ListenSettings, LogSettings, SAMPLE, TimingSettings,
+};
 pub use fault::{Fault, Faults};
 pub use key_value::KeyValue;
 pub use node::{DirectorySettings, GatewaySettings, LedgerSettings, Settings};
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -57,6 +57,8 @@
     pub tunnels: Option<SocketAddr>,
     /// Maximum number of open client connections.
     pub connections: usize,
+    /// Memory that clients may make the process hold, in bytes.
+    pub client_memory: usize,
     /// Maximum time from SIGTERM to the exit of the process.
     pub stop_timeout: Duration,
     /// Whether this is the first start of the whole deployment.
@@ -210,6 +212,12 @@
         ready: section.required_address("ready"),
         tunnels: section.optional_address("tunnels"),
         connections: section.number("connections", 2_000, 1, 65_536),
+        client_memory: client_memory(section.number(
+            "memory_mb",
+            GATEWAY_MEMORY_MB,
+            GATEWAY_OWN_MB + 8,
+            1 << 20,
+        )),
         stop_timeout: Duration::from_secs_f64(section.number("grace_s", 8.0, 1.0, 600.0)),
         is_first_start: section.flag("founding", false),
         paces_replicas: section.flag("replica_pace", false),
@@ -221,6 +229,21 @@
     gateway
 }
 
+/// Memory of a gateway's machine, unless the settings have it: that of the smallest one
+/// in production.
+const GATEWAY_MEMORY_MB: usize = 88;
+
+/// Memory of a gateway that clients don't share: 24 MiB for the process with its view of
+/// the replicas, 24 MiB for buffered responses, and 12 MiB for calls that wait to be written
+/// to ledger instances.
+const GATEWAY_OWN_MB: usize = 60;
+
+/// Returns the memory that clients may make a gateway hold, in bytes, on a machine with
+/// `memory_mb` MiB of memory.
+fn client_memory(memory_mb: usize) -> usize {
+    (memory_mb - GATEWAY_OWN_MB.min(memory_mb)) << 20
+}
+
 /// Returns the maximum memory for turns and accounts, in bytes, on an instance
 /// with `memory_mb` MiB of memory; 0 means no limit.
 fn memory_limit(memory_mb: usize) -> usize {
