Daemon: the memory of a call's JSON is reserved before it is parsed

Cause: a body was parsed into values of which each takes up to 768 bytes for the three that it has as text, and copied several times until its turn was recorded; none of it was counted.

Change: the memory is estimated from the text (brackets, commas, strings), times the copies that exist at a time, and reserved in the callers' budget until the call is answered. What can never fit gets 413 with a help line, what doesn't fit now 429 with Retry-After.

In calm a call of 8 MiB is accepted (largest_call, new). Not counted: a step whose caller has left, for up to 1 s.

--- a/crates/gg-caller/src/lib.rs
+++ b/crates/gg-caller/src/lib.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod chat;
 mod errors;
+mod json_memory;
 mod request;
 mod routes;
 mod server;
--- a/crates/gg-caller/src/routes.rs
+++ b/crates/gg-caller/src/routes.rs
@@ -13,10 +13,15 @@
 use crate::{
     Backend, CallerSettings,
     chat::{ReplyFormat, done_response, missing_answer, respond, with_turn},
-    errors::{bad_request, body_failure, failure_response},
+    errors::{bad_request, body_failure, failure_response, memory_failure},
+    json_memory::parsed_bytes,
     request::{ChatRequest, RequestContext},
 };
 
+/// Copies of a call that a daemon holds at a time at most: as it was parsed, in the
+/// prompt, in the request to the engine and in the record of the turn.
+const COPIES: usize = 4;
+
 const PROGRAM_HELP: &str = "start a program with POST /v1/programs, or omit x-gg-program";
 
 /// Handles one request.
@@ -86,6 +91,8 @@
     async fn chat(self, request: Request<Incoming>) -> Result<Response<Body>, Failure> {
         let body = read_body(request, self.limits).await;
         let HeldBody { content, memory } = body.map_err(|err| body_failure(&err))?;
+        let parsed: usize = COPIES * parsed_bytes(content.iter().flatten().copied());
+        memory.grow(parsed).await.map_err(memory_failure)?;
         let bytes = content.to_bytes();
         drop(content);
         let ChatRequest { call, stream, include_usage } =
@@ -105,7 +112,8 @@
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Failure> {
         let body = read_body(request, self.limits).await;
-        let HeldBody { content, memory: _memory } = body.map_err(|err| body_failure(&err))?;
+        let HeldBody { content, memory } = body.map_err(|err| body_failure(&err))?;
+        memory.grow(COPIES * content.len()).await.map_err(memory_failure)?;
         let body = String::from_utf8(content.to_bytes().into())
             .map_err(|_| bad_request("body is not UTF-8", "send text or JSON"))?;
         if !is_name(service) {
--- a/tests/abusive_callers.rs
+++ b/tests/abusive_callers.rs
@@ -171,3 +171,15 @@
         .await;
     }
 }
+
+/// In calm, a call at the limit is accepted: it is refused only for its program's token
+/// budget.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn largest_call() {
+    let _alone = alone().await;
+    let settings = FleetSettings { daemons: 1, engines: 1, ..FleetSettings::default() };
+    let fleet = support::fleet(settings).await;
+    let address = fleet.daemons[0].callers.parse().expect("address");
+    let crowd = Crowd::start(vec![(address, text_call(BODY_MAX_BYTES - 200))]);
+    eventually("the call is answered", async || crowd.summary().await.contains("402")).await;
+}
