Ledger: large requests and replies are reserved before they are read

Many turns of legal size at several gateways took 200 MB of a gateway's 88 and 72 to 96 MB of a ledger instance whose memory was set to 64 MB (60 turns of 4 MiB at three gateways, debug build); in a deployment with eight gateways or more such an instance was believed to be killed.

Cause: a frame of up to 16 MB was allocated as soon as its length was known, decoded, encoded for the log and joined with others for one sync, for each connection at once; read and write buffers of a link kept the size of the largest frame for good; replies with long chains waited uncounted for slow gateways. A gateway encoded a turn once for each member, into buffers that doubled behind the text, and queued 512 calls of any size a link.

Change: an instance has a budget for frames above 64 KiB, a quarter of memory_mb. A large request is announced by its length; its connection reads on once three times that is reserved, and releases it when the turn is on disk. Chains reserve theirs until the reply is written. Large frames are written without a copy, emptied read buffers are dropped, a sync takes about 1 MB. Nothing acknowledged is dropped: a request that waits is not yet read, and its gateway closes the turn at other members or fails it as before. A gateway reserves the record's copies with the turn, before it runs, and a link queues 4 MiB of calls, or one.

--- a/crates/gg-gateway/src/instance.rs
+++ b/crates/gg-gateway/src/instance.rs
@@ -140,6 +140,7 @@
             disk_bytes: settings.disk_bytes,
             log_bytes_min: settings.checkpoint_bytes,
         },
+        memory: MemoryBudget::new(settings.frame_memory),
     };
     let registry = Registry::default();
     let metrics = Metrics::new(&registry);
@@ -157,6 +158,7 @@
                 metrics.gauge("log_needed_bytes", usage.needed, &[]);
                 metrics.gauge("log_total_bytes", node.log_bytes(), &[]);
                 metrics.gauge("log_backlog_bytes", usage.backlog, &[]);
+                metrics.gauge("frame_bytes", node.memory().bytes() as u64, &[]);
                 metrics.gauge("fill_percent", capacity.fill(usage).0, &[]);
             }
         };
--- a/crates/gg-gateway/src/relay.rs
+++ b/crates/gg-gateway/src/relay.rs
@@ -343,14 +343,15 @@
             self.settlement.settle();
             return Ok(());
         }
-        let (previous, input) = match &self.whole_history {
-            None => (job.previous(), job.body.to_bytes()),
-            Some(history) => (None, [&history[..], &job.body.to_bytes()].concat().into()),
+        let (previous, history) = match &self.whole_history {
+            None => (job.previous(), Bytes::new()),
+            Some(history) => (None, history.clone()),
         };
+        let input = [&history].into_iter().chain(job.body.iter());
         let record = TurnRecord {
             turn: job.owned(job.id()),
             previous,
-            text: turn_text(&input, &mem::take(&mut self.relayed).join()),
+            text: turn_text(input, &mem::take(&mut self.relayed).join()),
             upstream: self.upstream.clone(),
             keep_ms: job.route.retention.as_millis(),
         };
@@ -442,9 +443,10 @@
 
 /// What a turn adds to the history: its input, then the data of each event
 /// followed by a line feed.
-fn turn_text(input: &Bytes, events: &[u8]) -> Bytes {
-    let mut text = BytesMut::with_capacity(input.len() + events.len());
-    text.extend_from_slice(input);
+fn turn_text<'a>(input: impl Iterator<Item = &'a Bytes> + Clone, events: &[u8]) -> Bytes {
+    let input_bytes: usize = input.clone().map(Bytes::len).sum();
+    let mut text = BytesMut::with_capacity(input_bytes + events.len());
+    input.for_each(|block| text.extend_from_slice(block));
     for line in events.split(|byte| *byte == b'\n') {
         if let Some(data) = line.strip_prefix(b"data:") {
             text.extend_from_slice(data.strip_prefix(b" ").unwrap_or(data));
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures::Stream;
-use gg_http::{Blocks, MemoryError};
+use gg_http::Blocks;
 use gg_ledger::{LedgerError, OpenRequest, OpenedTurn, TEXT_MAX_BYTES};
 use gg_protocol::{Code, Failure};
 use gg_route::Deployment;
@@ -49,11 +49,10 @@
     if job.route.stores_turns && body.len() > TEXT_MAX_BYTES {
         return Err(Failure::unexecuted(Code::TooLarge, TOO_LONG));
     }
-    let memory = state.memory.reserve(turn_memory(job, &opened)).await;
-    let memory = memory.map_err(|err| match err {
-        MemoryError::Full => refusal("no memory is left for the prompt"),
-        MemoryError::TooLarge => Failure::unexecuted(Code::TooLarge, TOO_LONG),
-    })?;
+    // The longest turns take more than one request may, so they take all of that.
+    let bytes = turn_memory(job, &opened).min(state.memory.request_bytes_max());
+    let memory = state.memory.reserve(bytes).await;
+    let memory = memory.map_err(|_| refusal("no memory is left for the prompt"))?;
     let mut attempts = job.attempts();
     let mut tried = Vec::new();
     loop {
@@ -145,12 +144,16 @@
     Some((job.envelope.turn.budget?, max_output))
 }
 
-/// Memory of a turn in bytes, beside its body: its history and, if it is stored, the text
-/// of its record.
+/// Copies of the text of a turn that is stored: its record, and the calls to the ledger
+/// instances that it is stored at first.
+const RECORD_COPIES: usize = 3;
+
+/// Memory of a turn in bytes, beside its body: its history and, if it is stored, the
+/// copies of its text.
 fn turn_memory(job: &Job, opened: &OpenedTurn) -> usize {
     let history = opened.history.len();
-    let record = if opened.needs_history { history + job.body.len() } else { job.body.len() };
-    history + if job.route.stores_turns { record } else { 0 }
+    let text = if opened.needs_history { history + job.body.len() } else { job.body.len() };
+    history + if job.route.stores_turns { RECORD_COPIES * text } else { 0 }
 }
 
 /// The history followed by the new input.
--- a/crates/gg-http/src/blocks.rs
+++ b/crates/gg-http/src/blocks.rs
@@ -32,7 +32,7 @@
     }
 
     /// The blocks that were not sent.
-    pub fn iter(&self) -> impl Iterator<Item = &Bytes> {
+    pub fn iter(&self) -> impl Iterator<Item = &Bytes> + Clone {
         self.blocks[self.sent..].iter()
     }
 
--- a/crates/gg-http/src/memory_budget.rs
+++ b/crates/gg-http/src/memory_budget.rs
@@ -287,6 +287,14 @@
         Ok(reservation)
     }
 
+    /// Reserves memory for work that is not given up, however long it takes until there is
+    /// room. What could never fit takes as much as one request may.
+    pub async fn reserve_patiently(&self, bytes: usize) -> Reservation {
+        let reservation = self.reservation(Stage::Working);
+        reservation.grow_patiently(bytes.min(self.request_bytes_max())).await;
+        reservation
+    }
+
     /// Creates an empty reservation.
     pub(crate) fn reservation(&self, stage: Stage) -> Reservation {
         let mut holders = self.holders();
--- a/crates/gg-ledger/examples/ledger_capacity/accounts.rs
+++ b/crates/gg-ledger/examples/ledger_capacity/accounts.rs
@@ -130,7 +130,12 @@
     let address = proxy.local_addr()?;
     let listen = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
     let capacity = Capacity { memory_bytes: 1 << 30, disk_bytes: u64::MAX, log_bytes_min: 1 << 20 };
-    let settings = NodeSettings { listen, folder: folder.into(), capacity };
+    let settings = NodeSettings {
+        listen,
+        folder: folder.into(),
+        capacity,
+        memory: gg_http::MemoryBudget::default(),
+    };
     let metrics = Metrics::new(&Registry::default());
     let node = Node::start(settings, metrics, stop.clone()).await?;
     let forwarding = forward(proxy, listen, bytes.clone());
--- a/crates/gg-ledger/examples/ledger_capacity/main.rs
+++ b/crates/gg-ledger/examples/ledger_capacity/main.rs
@@ -171,7 +171,12 @@
 async fn start(folder: &Path) -> Result<(Node, Ledger)> {
     let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
     let capacity = Capacity { memory_bytes: 1 << 30, disk_bytes: u64::MAX, log_bytes_min: 1 << 20 };
-    let settings = NodeSettings { listen, folder: folder.into(), capacity };
+    let settings = NodeSettings {
+        listen,
+        folder: folder.into(),
+        capacity,
+        memory: gg_http::MemoryBudget::default(),
+    };
     let (metrics, stop) = (Metrics::new(&Registry::default()), CancellationToken::new());
     let node = Node::start(settings, metrics, stop.clone()).await?;
     let (instance, centre): (Name, Name) = ("ledger".into(), "centre".into());
--- a/crates/gg-ledger/examples/record_formats.rs
+++ b/crates/gg-ledger/examples/record_formats.rs
@@ -316,7 +316,12 @@
     let listen: SocketAddr = gg_fakes::free_address().parse().expect("an address");
     let capacity =
         Capacity { memory_bytes: memory_limit, disk_bytes: u64::MAX, log_bytes_min: 1 << 20 };
-    let settings = NodeSettings { listen, folder: folder.into(), capacity };
+    let settings = NodeSettings {
+        listen,
+        folder: folder.into(),
+        capacity,
+        memory: gg_http::MemoryBudget::default(),
+    };
     let metrics = Metrics::new(&Registry::default());
     (Node::start(settings, metrics, stop.clone()).await.expect("a node"), listen)
 }
--- a/crates/gg-ledger/src/commits.rs
+++ b/crates/gg-ledger/src/commits.rs
@@ -26,6 +26,10 @@
 /// Delay before a write is repeated that failed because the disk is full.
 const FULL_DISK_DELAY: Duration = Duration::from_millis(200);
 
+/// Bytes from which on no more entries are written with one sync, as they are copied
+/// into one buffer.
+const ROUND_BYTES: u64 = 1 << 20;
+
 /// Encoded entries.
 #[derive(Debug, Default)]
 pub(crate) struct Batch {
@@ -68,6 +72,10 @@
     }
 
     fn append(&mut self, other: Batch) {
+        if self.encoded.is_empty() {
+            *self = other;
+            return;
+        }
         let start = self.encoded.len();
         self.encoded.extend_from_slice(&other.encoded);
         let turns = other.turns.into_iter();
@@ -211,7 +219,9 @@
             round.add(first);
         }
     }
-    while let Ok(more) = queue.try_recv() {
+    while round.queued < ROUND_BYTES
+        && let Ok(more) = queue.try_recv()
+    {
         round.add(more);
     }
     round
--- a/crates/gg-ledger/src/link.rs
+++ b/crates/gg-ledger/src/link.rs
@@ -4,8 +4,8 @@
     collections::HashMap,
     io,
     sync::{
-        Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -35,6 +35,9 @@
 /// Number of calls that may wait to be written.
 const CALLS_MAX: usize = 512;
 
+/// Bytes that may wait to be written, unless nothing else waits.
+const CALLS_MAX_BYTES: usize = 4 << 20;
+
 /// First and longest delay before reconnecting.
 const RECONNECT_DELAYS: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(500));
@@ -90,6 +93,8 @@
     heartbeat: Option<Duration>,
     next: AtomicU64,
     calls: mpsc::Sender<Bytes>,
+    /// Bytes of calls that were not written yet.
+    waiting_bytes: Arc<AtomicUsize>,
     pending: Mutex<HashMap<u64, PendingCall>>,
     cursor: Mutex<CrashCursor>,
 }
@@ -112,6 +117,7 @@
             heartbeat: None,
             next: AtomicU64::new(1),
             calls,
+            waiting_bytes: Arc::default(),
             pending: Mutex::default(),
             cursor: Mutex::default(),
         };
@@ -198,11 +204,17 @@
         if request.len() > FRAME_MAX_BYTES {
             return Err(LedgerError::TooLong);
         }
+        let waiting = self.waiting_bytes.fetch_add(request.len(), Ordering::Relaxed);
+        let waiting_bytes = self.waiting_bytes.clone();
+        let call = Bytes::from_owner(WaitingCall { frame: request, waiting_bytes });
+        if waiting > 0 && waiting + call.len() > CALLS_MAX_BYTES {
+            return Err(LedgerError::Disconnected);
+        }
         if let Some(reply) = reply {
             let pending = PendingCall { since: Instant::now(), reply };
             lock(&self.pending).insert(id, pending);
         }
-        if self.calls.try_send(request).is_err() {
+        if self.calls.try_send(call).is_err() {
             lock(&self.pending).remove(&id);
             return Err(LedgerError::Disconnected);
         }
@@ -355,6 +367,24 @@
     }
 }
 
+/// A call that was not written yet; counted until it is dropped.
+struct WaitingCall {
+    frame: Bytes,
+    waiting_bytes: Arc<AtomicUsize>,
+}
+
+impl AsRef<[u8]> for WaitingCall {
+    fn as_ref(&self) -> &[u8] {
+        &self.frame
+    }
+}
+
+impl Drop for WaitingCall {
+    fn drop(&mut self) {
+        self.waiting_bytes.fetch_sub(self.frame.len(), Ordering::Relaxed);
+    }
+}
+
 /// Creates an interval that delays missed ticks instead of repeating them.
 fn delayed_interval(period: Duration) -> time::Interval {
     let mut interval = time::interval(period);
--- a/crates/gg-ledger/src/node.rs
+++ b/crates/gg-ledger/src/node.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use gg_http::listen_socket;
+use gg_http::{MemoryBudget, listen_socket};
 use gg_metrics::Metrics;
 use gg_platform::Mirror;
 use gg_protocol::Name;
@@ -79,6 +79,8 @@
     pub folder: PathBuf,
     /// Bounds of what the instance holds.
     pub capacity: Capacity,
+    /// Budget for large requests and replies.
+    pub memory: MemoryBudget,
 }
 
 /// A ledger instance. Clones share its state.
@@ -107,6 +109,8 @@
     reads: Semaphore,
     metrics: Metrics,
     capacity: Capacity,
+    /// Budget for large requests and replies.
+    memory: MemoryBudget,
     refusing: Mutex<Refusing>,
     /// Cancelled once nothing more is written to the log.
     log_closed: CancellationToken,
@@ -159,6 +163,7 @@
             reads: Semaphore::new(READS_MAX),
             metrics,
             capacity: settings.capacity,
+            memory: settings.memory,
             refusing: Mutex::default(),
             log_closed: CancellationToken::new(),
         };
@@ -218,6 +223,11 @@
         self.shared.capacity
     }
 
+    /// Budget for large requests and replies.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.shared.memory
+    }
+
     /// Bytes that the log may take before its oldest segment is removed.
     pub(crate) fn log_bytes_max(&self) -> u64 {
         self.capacity().log_bytes(self.store().bytes().log)
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -14,10 +14,11 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
+    io::AsyncWriteExt,
     net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     sync::mpsc,
 };
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::{Decoder, FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::{
     AgedFact, CreditReply, CreditRequest, Layout, LimitReport, LogEntry, OverloadReport,
@@ -29,6 +30,13 @@
 /// Largest frame, in bytes. A chain of 280,000 tokens fits.
 pub(crate) const FRAME_MAX_BYTES: usize = 16 << 20;
 
+/// Usual size of the fields of a message without its text, in bytes.
+const FIELDS_BYTES: usize = 256;
+
+/// Frames above this size count in the memory budget of an instance, and are written
+/// without being copied.
+pub(crate) const LARGE_FRAME_BYTES: usize = 64 << 10;
+
 /// Largest text of a turn or of a chain, in bytes. A frame has room for it and
 /// for the names and fields that go with it.
 pub const TEXT_MAX_BYTES: usize = FRAME_MAX_BYTES - (256 << 10);
@@ -267,7 +275,10 @@
     match &request.op {
         Op::Open { continues: Some(turn), .. } => encode(request, Some(turn)),
         Op::Ping { credit: Some(credit) } => encode(request, Some(credit)),
-        Op::Close { missed, .. } if !missed.is_empty() => encode(request, Some(missed)),
+        Op::Close { record, missed, .. } => {
+            let text_bytes = record.as_ref().map_or(0, |record| record.text.len());
+            encode_sized(request, Some(missed).filter(|missed| !missed.is_empty()), text_bytes)
+        }
         _ => encode(request, None::<&Name>),
     }
 }
@@ -292,8 +303,19 @@
 }
 
 fn encode<M: Serialize, T: Serialize>(message: &M, trailing: Option<&T>) -> Bytes {
+    encode_sized(message, trailing, 0)
+}
+
+/// Encodes a message that holds a text of `text_bytes` bytes, so that the buffer doesn't
+/// double in size behind the text.
+fn encode_sized<M: Serialize, T: Serialize>(
+    message: &M,
+    trailing: Option<&T>,
+    text_bytes: usize,
+) -> Bytes {
+    let buffer = Vec::with_capacity(text_bytes + FIELDS_BYTES);
     // Serialization into memory can't fail for these message types.
-    let mut encoded = postcard::to_allocvec(message).unwrap_or_default();
+    let mut encoded = postcard::to_extend(message, buffer).unwrap_or_default();
     if let Some(trailing) = trailing {
         encoded = postcard::to_extend(trailing, encoded).unwrap_or_default();
     }
@@ -357,15 +379,66 @@
 }
 
 /// Writes `first` and all frames queued behind it with as few system calls as
-/// possible.
+/// possible. Large frames are not copied.
 pub(crate) async fn write_frames(
     writer: &mut FrameWriter,
     first: Bytes,
     queued: &mut mpsc::Receiver<Bytes>,
 ) -> io::Result<()> {
-    writer.feed(first).await?;
+    write_frame(writer, first).await?;
     while let Ok(more) = queued.try_recv() {
-        writer.feed(more).await?;
+        write_frame(writer, more).await?;
     }
     SinkExt::<Bytes>::flush(writer).await
 }
+
+async fn write_frame(writer: &mut FrameWriter, frame: Bytes) -> io::Result<()> {
+    if frame.len() <= LARGE_FRAME_BYTES {
+        return writer.feed(frame).await;
+    }
+    SinkExt::<Bytes>::flush(writer).await?;
+    writer.get_mut().write_u32(frame.len() as u32).await?;
+    writer.get_mut().write_all(&frame).await
+}
+
+/// What a [`RequestDecoder`] reads.
+#[derive(Debug)]
+pub(crate) enum RequestFrame {
+    /// A frame of this length follows, for which memory has to be found first.
+    Announced(usize),
+    /// A whole frame.
+    Whole(BytesMut),
+}
+
+/// Reads the frames of requests, and announces large ones before their content is read.
+#[derive(Debug)]
+pub(crate) struct RequestDecoder {
+    codec: LengthDelimitedCodec,
+    is_announced: bool,
+}
+
+impl RequestDecoder {
+    pub(crate) fn new() -> Self {
+        RequestDecoder { codec: codec(), is_announced: false }
+    }
+}
+
+impl Decoder for RequestDecoder {
+    type Item = RequestFrame;
+    type Error = io::Error;
+
+    fn decode(&mut self, source: &mut BytesMut) -> io::Result<Option<RequestFrame>> {
+        if let (false, Some(head)) = (self.is_announced, source.first_chunk()) {
+            let length = u32::from_be_bytes(*head) as usize;
+            if (LARGE_FRAME_BYTES + 1..=FRAME_MAX_BYTES).contains(&length) {
+                self.is_announced = true;
+                return Ok(Some(RequestFrame::Announced(length)));
+            }
+        }
+        let frame = self.codec.decode(source)?;
+        if frame.is_some() {
+            self.is_announced = false;
+        }
+        Ok(frame.map(RequestFrame::Whole))
+    }
+}
--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
-use gg_http::configure_socket;
+use gg_http::{Reservation, configure_socket};
 use gg_platform::{AnswerReport, Kind, MirrorUpdate};
 use gg_protocol::Name;
 use tokio::{
@@ -21,8 +21,9 @@
     AccountReport, Chain, LogEntry, Node, Opener, PartitionEntry, TurnRecord,
     chains::{Lookup, loaded},
     protocol::{
-        FRAME_MAX_BYTES, FrameWriter, Op, Reply, ReplyBody, Request, TEXT_MAX_BYTES, codec,
-        decode_request, encode_reply, write_frames,
+        FRAME_MAX_BYTES, FrameWriter, LARGE_FRAME_BYTES, Op, Reply, ReplyBody, Request,
+        RequestDecoder, RequestFrame, TEXT_MAX_BYTES, codec, decode_request, encode_reply,
+        write_frames,
     },
     pull::PullSource,
 };
@@ -31,6 +32,13 @@
 /// delayed.
 const REPLIES_MAX: usize = 16;
 
+/// Copies of a large request that exist at a time: its frame or the encoded entries, its
+/// text, and the entries that are written with one sync.
+const FRAME_COPIES: usize = 3;
+
+/// Copies of a chain that exist at a time: its texts, the chain and the reply.
+const CHAIN_COPIES: usize = 3;
+
 /// Delay after a failed accept, usually caused by too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -59,15 +67,31 @@
     let (reader, writer) = socket.into_split();
     let (replies, queued) = mpsc::channel(REPLIES_MAX);
     let writing = tokio::spawn(write_replies(FramedWrite::new(writer, codec()), queued));
-    let mut reader = FramedRead::new(reader, codec());
+    let mut reader = FramedRead::new(reader, RequestDecoder::new());
+    let mut memory = None;
     while let Some(Ok(frame)) = reader.next().await {
+        let frame = match frame {
+            // Further requests of the connection wait with it.
+            RequestFrame::Announced(length) => {
+                memory = Some(node.memory().reserve_patiently(FRAME_COPIES * length).await);
+                continue;
+            }
+            RequestFrame::Whole(frame) => frame,
+        };
         match decode_request(&frame) {
-            Ok(request) => handle(&node, request, &replies).await,
+            Ok(request) => {
+                drop(frame);
+                handle(&node, request, memory.take(), &replies).await;
+            }
             Err(err) => {
                 log::warn!("event=bad_frame error={err}");
                 break;
             }
         }
+        if reader.read_buffer().is_empty() {
+            // It keeps the size of the largest frame otherwise.
+            *reader.read_buffer_mut() = BytesMut::new();
+        }
     }
     drop(replies);
     if let Err(err) = writing.await {
@@ -86,7 +110,12 @@
 
 /// Handles one request. Only requests whose reply waits for the disk get a task
 /// of their own.
-async fn handle(node: &Node, request: Request, replies: &mpsc::Sender<Bytes>) {
+async fn handle(
+    node: &Node,
+    request: Request,
+    memory: Option<Reservation>,
+    replies: &mpsc::Sender<Bytes>,
+) {
     let (id, partition) = (request.id, request.partition);
     if let Some(refusal) = refusal(node, &request) {
         send_reply(replies, id, refusal).await;
@@ -107,7 +136,8 @@
             let AccountReport { others, settled } = report;
             let body = move |chain| ReplyBody::Opened { others, chain, upstream, has_gap, settled };
             if keep_ms.is_some() {
-                reply_after_write(node, id, entries, body(None), replies);
+                let unanswered = Unanswered { id, memory, replies: replies.clone() };
+                reply_after_write(node, entries, body(None), unanswered);
                 return;
             }
             node.enqueue(&entries);
@@ -120,7 +150,8 @@
         }
         Op::Close { turn, settle, record, run, missed } => {
             let program = settle.as_ref().map(|(program, _)| program.clone());
-            close(node, id, partition, turn, settle, record, replies);
+            let unanswered = Unanswered { id, memory, replies: replies.clone() };
+            close(node, partition, turn, settle, record, unanswered);
             if let Some(program) = &program {
                 settle_missed(node, partition, program, missed);
             }
@@ -335,32 +366,46 @@
         send_reply(replies, id, body(None)).await;
         return;
     }
-    if let Some(chain) = loaded(&stored) {
+    if stored.bytes() <= LARGE_FRAME_BYTES
+        && let Some(chain) = loaded(&stored)
+    {
         send_reply(replies, id, body(Some(chain))).await;
         return;
     }
+    let bytes = stored.bytes();
     let (node, replies) = (node.clone(), replies.clone());
     tokio::spawn(async move {
+        let memory = match bytes > LARGE_FRAME_BYTES {
+            true => Some(node.memory().reserve_patiently(CHAIN_COPIES * bytes).await),
+            false => None,
+        };
         let started_at = Instant::now();
         match node.read_chain(&lookup).await {
             Ok(chain) => {
                 let elapsed = started_at.elapsed().as_micros() as u64;
                 node.metrics().time("chain_read", elapsed, &[]);
-                send_reply(&replies, id, body(Some(chain))).await;
+                send_held_reply(&replies, id, body(Some(chain)), memory).await;
             }
             Err(err) => log::error!("event=chain_unreadable lookup={lookup:?} error={err}"),
         }
     });
 }
 
+/// A request whose reply waits for the disk.
+struct Unanswered {
+    id: u64,
+    /// Memory of the request.
+    memory: Option<Reservation>,
+    replies: mpsc::Sender<Bytes>,
+}
+
 fn close(
     node: &Node,
-    id: u64,
     partition: u16,
     turn: Name,
     settle: Option<(Name, u32)>,
     record: Option<TurnRecord>,
-    replies: &mpsc::Sender<Bytes>,
+    unanswered: Unanswered,
 ) {
     let is_awaited = record.is_some();
     // A refused turn leaves no account behind. Its reservation, if there is one,
@@ -376,20 +421,22 @@
         node.enqueue(&entries);
         return;
     }
-    reply_after_write(node, id, entries, ReplyBody::Closed, replies);
+    reply_after_write(node, entries, ReplyBody::Closed, unanswered);
 }
 
-/// Sends the reply once the entries are on disk.
+/// Sends the reply once the entries are on disk, and releases the request's memory.
 fn reply_after_write(
     node: &Node,
-    id: u64,
     entries: Vec<PartitionEntry>,
     body: ReplyBody,
-    replies: &mpsc::Sender<Bytes>,
+    unanswered: Unanswered,
 ) {
-    let (node, replies) = (node.clone(), replies.clone());
+    let node = node.clone();
     tokio::spawn(async move {
-        if node.write(&entries).await {
+        let Unanswered { id, memory, replies } = unanswered;
+        let is_written = node.write(&entries).await;
+        drop((entries, memory));
+        if is_written {
             send_reply(&replies, id, body).await;
         }
     });
@@ -423,13 +470,39 @@
 }
 
 async fn send_reply(replies: &mpsc::Sender<Bytes>, id: u64, body: ReplyBody) {
+    send_held_reply(replies, id, body, None).await;
+}
+
+/// Sends a reply whose memory is released once it was written.
+async fn send_held_reply(
+    replies: &mpsc::Sender<Bytes>,
+    id: u64,
+    body: ReplyBody,
+    memory: Option<Reservation>,
+) {
     let reply = encode_reply(&Reply { id, body });
     if reply.len() > FRAME_MAX_BYTES {
         // Writing it would end the connection and all other calls on it.
         log::error!("event=reply_too_long id={id} bytes={}", reply.len());
         return;
     }
+    let reply = match memory {
+        None => reply,
+        Some(memory) => Bytes::from_owner(HeldFrame { frame: reply, _memory: memory }),
+    };
     // A failed send means that the client has disconnected; it retries
     // elsewhere.
     let _ = replies.send(reply).await;
 }
+
+/// A frame with the memory that is released with it.
+struct HeldFrame {
+    frame: Bytes,
+    _memory: Reservation,
+}
+
+impl AsRef<[u8]> for HeldFrame {
+    fn as_ref(&self) -> &[u8] {
+        &self.frame
+    }
+}
--- a/crates/gg-ledger/tests/restarts.rs
+++ b/crates/gg-ledger/tests/restarts.rs
@@ -38,7 +38,12 @@
 
 async fn start(folder: &Path, log_bytes_min: u64) -> (Node, DropGuard) {
     let capacity = Capacity { memory_bytes: 1 << 30, disk_bytes: u64::MAX, log_bytes_min };
-    let settings = NodeSettings { listen: free_address(), folder: folder.into(), capacity };
+    let settings = NodeSettings {
+        listen: free_address(),
+        folder: folder.into(),
+        capacity,
+        memory: gg_http::MemoryBudget::default(),
+    };
     let stop = CancellationToken::new();
     let node = Node::start(settings, Metrics::new(&Registry::default()), stop.clone()).await;
     (node.expect("a node"), stop.drop_guard())
--- a/crates/gg-ledger/tests/support/mod.rs
+++ b/crates/gg-ledger/tests/support/mod.rs
@@ -101,7 +101,12 @@
 /// removed.
 pub fn settings(listen: SocketAddr, folder: &Path, memory_bytes: usize) -> NodeSettings {
     let capacity = Capacity { memory_bytes, disk_bytes: u64::MAX, log_bytes_min: 1 << 20 };
-    NodeSettings { listen, folder: folder.into(), capacity }
+    NodeSettings {
+        listen,
+        folder: folder.into(),
+        capacity,
+        memory: gg_http::MemoryBudget::default(),
+    }
 }
 
 pub fn free_address() -> SocketAddr {
--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -104,6 +104,8 @@
     pub disk_bytes: u64,
     /// Maximum memory for turns and accounts, in bytes.
     pub memory_limit: usize,
+    /// Maximum memory for large requests and replies, in bytes.
+    pub frame_memory: usize,
     /// Bounds for client accounts.
     pub accounts: AccountSettings,
     /// Bounds on how soon the directory is followed.
@@ -116,6 +118,9 @@
 /// is for connection buffers and for partition copies in transfer.
 const CONTENT_MEMORY_PERCENT: usize = 50;
 
+/// Share of a ledger instance's memory that large requests and replies may use.
+const FRAME_MEMORY_PERCENT: usize = 25;
+
 /// Settings of one process, by its role.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Settings {
@@ -244,16 +249,16 @@
     (memory_mb - GATEWAY_OWN_MB.min(memory_mb)) << 20
 }
 
-/// Returns the maximum memory for turns and accounts, in bytes, on an instance
-/// with `memory_mb` MiB of memory; 0 means no limit.
-fn memory_limit(memory_mb: usize) -> usize {
+/// Returns `percent` of `memory_mb` MiB in bytes; 0 MiB mean no limit.
+fn memory_share(memory_mb: usize, percent: usize) -> usize {
     match memory_mb {
         0 => usize::MAX,
-        mb => (mb << 20) / 100 * CONTENT_MEMORY_PERCENT,
+        mb => (mb << 20) / 100 * percent,
     }
 }
 
 fn read_ledger(section: Section<'_>, instance: Name, centre: Name) -> LedgerSettings {
+    let memory_mb = section.number("memory_mb", 0, 0, 1 << 30);
     let ledger = LedgerSettings {
         instance,
         centre,
@@ -269,7 +274,8 @@
             0 => u64::MAX,
             mb => mb << 20,
         },
-        memory_limit: memory_limit(section.number("memory_mb", 0, 0, 1 << 30)),
+        memory_limit: memory_share(memory_mb, CONTENT_MEMORY_PERCENT),
+        frame_memory: memory_share(memory_mb, FRAME_MEMORY_PERCENT),
         accounts: AccountSettings::default(),
         bounds: DirectoryBounds::default(),
         metrics: None,
