Gateways start on machines of any memory

A [gateway] memory_mb below 68 was a fault of the settings, so on a small machine the process would not have started. Clients share 8 MiB at least now; test memory_of_machine.

--- a/crates/gg-settings/src/node.rs
+++ b/crates/gg-settings/src/node.rs
@@ -217,12 +217,7 @@
         ready: section.required_address("ready"),
         tunnels: section.optional_address("tunnels"),
         connections: section.number("connections", 2_000, 1, 65_536),
-        client_memory: client_memory(section.number(
-            "memory_mb",
-            GATEWAY_MEMORY_MB,
-            GATEWAY_OWN_MB + 8,
-            1 << 20,
-        )),
+        client_memory: client_memory(section.number("memory_mb", GATEWAY_MEMORY_MB, 1, 1 << 20)),
         stop_timeout: Duration::from_secs_f64(section.number("grace_s", 8.0, 1.0, 600.0)),
         is_first_start: section.flag("founding", false),
         paces_replicas: section.flag("replica_pace", false),
@@ -243,10 +238,13 @@
 /// to ledger instances.
 const GATEWAY_OWN_MB: usize = 60;
 
+/// Memory that clients share at least, in MiB, however small the machine.
+const CLIENTS_MIN_MB: usize = 8;
+
 /// Returns the memory that clients may make a gateway hold, in bytes, on a machine with
 /// `memory_mb` MiB of memory.
 fn client_memory(memory_mb: usize) -> usize {
-    (memory_mb - GATEWAY_OWN_MB.min(memory_mb)) << 20
+    memory_mb.saturating_sub(GATEWAY_OWN_MB).max(CLIENTS_MIN_MB) << 20
 }
 
 /// Returns `percent` of `memory_mb` MiB in bytes; 0 MiB mean no limit.
--- a/crates/gg-settings/tests/files.rs
+++ b/crates/gg-settings/tests/files.rs
@@ -168,3 +168,26 @@
         assert!(text.parse::<KeyValue>().is_err(), "{text}");
     }
 }
+
+/// What clients may make a process hold follows from the memory of its machine.
+#[test]
+fn memory_of_machine() {
+    let gateway = |line: &str| {
+        let text = format!(
+            "[instance]\nname = g\ndata_centre = a\n[directory]\naddress = 10.0.0.1:80\n\
+             [gateway]\nclients = 10.0.0.2:80\nready = 10.0.0.2:81\n{line}\n"
+        );
+        match Settings::parse("gateway.ini", &text).expect("no faults") {
+            Settings::Gateway(settings, ..) => settings.client_memory >> 20,
+            other => panic!("not a gateway: {other:?}"),
+        }
+    };
+    assert_eq!(gateway(""), gateway("memory_mb = 88"));
+    assert_eq!(gateway("memory_mb = 110") - gateway("memory_mb = 88"), 22);
+    assert!(gateway("memory_mb = 32") > 0);
+    let daemon = DaemonSettings::default();
+    let larger = DaemonSettings { memory_bytes: daemon.memory_bytes + (1 << 20), ..daemon.clone() };
+    assert_eq!(larger.caller_memory() - daemon.caller_memory(), 1 << 20);
+    let reserved = DaemonSettings { memory_bytes: 1 << 20, ..daemon };
+    assert!(reserved.caller_memory() > 0);
+}
