--- a/crates/gg-http/src/memory_budget.rs
+++ b/crates/gg-http/src/memory_budget.rs
@@ -374,12 +374,6 @@
         }
     }
 
-    /// Releases `bytes`.
-    pub fn shrink(&self, bytes: usize) {
-        self.budget.holders().remove(self.id, bytes);
-        self.budget.shared.freed.notify_waiters();
-    }
-
     /// Enters a stage. A request that is complete is no longer given up.
     pub(crate) fn enter(&self, stage: Stage) {
         let mut holders = self.budget.holders();
