Ledger: the read buffer of a connection is replaced only after large frames

The buffer was dropped after each request; an empty one grows from 8 bytes, so each request took several reads instead of one.

--- a/crates/gg-ledger/src/serve.rs
+++ b/crates/gg-ledger/src/serve.rs
@@ -39,6 +39,9 @@
 /// Copies of a chain that exist at a time: its texts, the chain and the reply.
 const CHAIN_COPIES: usize = 3;
 
+/// Usual size of the read buffer of a connection, in bytes.
+const READ_BUFFER_BYTES: usize = 8 << 10;
+
 /// Delay after a failed accept, usually caused by too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -88,9 +91,10 @@
                 break;
             }
         }
-        if reader.read_buffer().is_empty() {
+        let buffer = reader.read_buffer_mut();
+        if buffer.is_empty() && buffer.capacity() > LARGE_FRAME_BYTES {
             // It keeps the size of the largest frame otherwise.
-            *reader.read_buffer_mut() = BytesMut::new();
+            *buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
         }
     }
     drop(replies);
