Tests: responses that are not read, and restarts, beside large bodies

Clients that send whole bodies and don't read long responses; a gateway that is stopped (SIGTERM) and started again while its budget is full and its clients stay. It has to end by itself with status 0. large_turns also continues an acknowledged turn beside and after the crowd, at another gateway.

Crowd and bounds as before: 60 clients, 88 MB.

--- a/tests/abusive_callers.rs
+++ b/tests/abusive_callers.rs
@@ -33,7 +33,7 @@
                     content-type: application/json\r\n";
 
 fn upload(framing: Framing, body: Vec<u8>, is_ended: bool) -> Upload {
-    Upload { head: HEAD.into(), framing, body: body.into(), is_ended }
+    Upload { head: HEAD.into(), framing, body: body.into(), is_ended, is_read: true }
 }
 
 /// A call whose field `name` consists of `item` repeated, with this size in bytes.
--- a/tests/abusive_clients.rs
+++ b/tests/abusive_clients.rs
@@ -15,7 +15,10 @@
 use http::{Request, StatusCode};
 use processes::{LEDGERS, ProcessSettings, Processes, ROUTES};
 use serde_json::json;
-use support::deployment::{configuration, eventually};
+use support::{
+    Behaviour,
+    deployment::{configuration, eventually},
+};
 
 /// Memory available to the smallest gateway in production, in bytes.
 const GATEWAY_MEMORY_BYTES: u64 = 88 << 20;
@@ -29,6 +32,9 @@
 /// Largest body that the configuration allows, in bytes.
 const BODY_MAX_BYTES: usize = 4 << 20;
 
+/// Largest request head that the configuration allows, in bytes.
+const HEAD_MAX_BYTES: usize = 16 << 10;
+
 /// One in this many clients completes its request.
 const COMPLETE_EVERY: usize = 10;
 
@@ -38,9 +44,15 @@
 /// Starts a deployment with bodies of up to [`BODY_MAX_BYTES`] and waits until it
 /// serves requests.
 async fn start(settings: ProcessSettings) -> Processes {
+    start_with_heads(settings, HEAD_MAX_BYTES).await
+}
+
+/// Like [`start`], with request heads of up to `head_bytes`.
+async fn start_with_heads(settings: ProcessSettings, head_bytes: usize) -> Processes {
     let processes = Processes::start_with(settings).await;
     let mut changed = configuration(2, &ROUTES);
     changed["limits"]["max-body-bytes"] = json!(BODY_MAX_BYTES);
+    changed["limits"]["max-header-bytes"] = json!(head_bytes);
     processes.store.put("config", "main", changed);
     for address in &processes.clients {
         let larger_than_before = Bytes::from(vec![b'x'; 200_000]);
@@ -63,6 +75,46 @@
     Some(reply.ok()?.status)
 }
 
+/// Sends a turn of the program `p` on a connection of its own.
+async fn turn(
+    gateway: SocketAddr,
+    path: &str,
+    id: &str,
+    previous: Option<&str>,
+    body: Bytes,
+) -> Option<StatusCode> {
+    let mut request = Request::post(format!("http://{gateway}{path}/x"))
+        .header("host", "app.example")
+        .header("request-id", id)
+        .header("request-deadline", "4000")
+        .header("program-id", "p")
+        .header("session-id", "s")
+        .header("token-budget", "100000000")
+        .header("token-count", "10,100");
+    if let Some(previous) = previous {
+        request = request.header("previous-turn", previous);
+    }
+    let request = request.body(body).expect("request");
+    let reply = Client::default().call(request, Duration::from_secs(20)).await;
+    Some(reply.ok()?.status)
+}
+
+/// Sends a turn until it is served. Returns its id.
+async fn served_turn(
+    gateway: SocketAddr,
+    path: &str,
+    previous: Option<&str>,
+    body: Bytes,
+) -> String {
+    let mut id = String::new();
+    eventually(&format!("a turn of {} bytes is served on {path}", body.len()), async || {
+        id = gg_fakes::free_address();
+        turn(gateway, path, &id, previous, body.clone()).await == Some(StatusCode::OK)
+    })
+    .await;
+    id
+}
+
 /// Head of a request, without its framing.
 fn head(path: &str, client: usize) -> String {
     format!(
@@ -80,39 +132,70 @@
         Framing::Length(length) if is_ended => length,
         _ => sent,
     };
-    Upload { head: head(path, client), framing, body: vec![b'x'; sent].into(), is_ended }
+    Upload {
+        head: head(path, client),
+        framing,
+        body: vec![b'x'; sent].into(),
+        is_ended,
+        is_read: true,
+    }
+}
+
+/// Clients that send uploads to the first gateway, and what is checked meanwhile and
+/// afterwards.
+struct Attack<'a> {
+    description: &'a str,
+    gateway: SocketAddr,
+    watch: MemoryWatch,
+    crowd: Crowd,
+}
+
+impl<'a> Attack<'a> {
+    /// Starts the clients and waits until the gateway has read what they send.
+    async fn start(
+        processes: &Processes,
+        description: &'a str,
+        upload: impl Fn(usize) -> Upload,
+    ) -> Self {
+        let gateway = processes.clients[0];
+        let watch = MemoryWatch::start(processes.servers[LEDGERS].id(), gateway);
+        let uploads = (0..CLIENTS).map(|client| (gateway, upload(client)));
+        let crowd = Crowd::start(uploads.collect());
+        crowd.settled(&[gateway]).await;
+        Attack { description, gateway, watch, crowd }
+    }
+
+    /// Checks what has to hold, and ends the clients.
+    async fn check(self, connections: usize) {
+        let Attack { description, gateway, watch, crowd } = self;
+        eventually("a request is served beside the crowd", async || {
+            call(gateway, Bytes::from_static(b"question")).await == Some(StatusCode::OK)
+        })
+        .await;
+        let descriptors = watch.descriptors();
+        let summary = crowd.summary().await;
+        drop(crowd);
+        eventually("a request is served after the crowd", async || {
+            call(gateway, Bytes::from_static(b"question")).await == Some(StatusCode::OK)
+        })
+        .await;
+        let peak = watch.peak();
+        println!("{description}: peak {} MB, {descriptors} descriptors, {summary}", peak >> 20);
+        assert!(peak < GATEWAY_MEMORY_BYTES, "{description}: the gateway used {peak} bytes");
+        assert!(
+            descriptors < connections + OTHER_DESCRIPTORS,
+            "{description}: the gateway used {descriptors} descriptors"
+        );
+    }
 }
 
-/// Sends uploads to the gateway and checks what has to hold meanwhile and afterwards.
 async fn attack(
     processes: &Processes,
     description: &str,
     connections: usize,
     upload: impl Fn(usize) -> Upload,
 ) {
-    let gateway = processes.clients[0];
-    let watch = MemoryWatch::start(processes.servers[LEDGERS].id(), gateway);
-    let uploads = (0..CLIENTS).map(|client| (gateway, upload(client)));
-    let crowd = Crowd::start(uploads.collect());
-    crowd.settled(&[gateway]).await;
-    eventually("a request is served beside the crowd", async || {
-        call(gateway, Bytes::from_static(b"question")).await == Some(StatusCode::OK)
-    })
-    .await;
-    let descriptors = watch.descriptors();
-    let summary = crowd.summary().await;
-    drop(crowd);
-    eventually("a request is served after the crowd", async || {
-        call(gateway, Bytes::from_static(b"question")).await == Some(StatusCode::OK)
-    })
-    .await;
-    let peak = watch.peak();
-    println!("{description}: peak {} MB, {descriptors} descriptors, {summary}", peak >> 20);
-    assert!(peak < GATEWAY_MEMORY_BYTES, "{description}: the gateway used {peak} bytes");
-    assert!(
-        descriptors < connections + OTHER_DESCRIPTORS,
-        "{description}: the gateway used {descriptors} descriptors"
-    );
+    Attack::start(processes, description, upload).await.check(connections).await;
 }
 
 /// Many bodies of legal size at once, sent whole.
@@ -180,7 +263,7 @@
     attack(&processes, "announced excess", CLIENTS, |client| {
         let framing = Framing::Length(4_000_000_000);
         let body = vec![b'x'; 5 * BODY_MAX_BYTES].into();
-        Upload { head: head("/once", client), framing, body, is_ended: false }
+        Upload { head: head("/once", client), framing, body, is_ended: false, is_read: true }
     })
     .await;
 }
@@ -201,20 +284,80 @@
     .await;
 }
 
-/// Many turns of legal size at several gateways, which ledger instances store.
+/// Whole bodies of legal size, whose clients don't read the long responses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_responses() {
+    let _alone = alone().await;
+    let processes = start(ProcessSettings::default()).await;
+    let replica = &processes.replicas[0];
+    for path in ["/once", "/resume"] {
+        let description = format!("unread responses {path}");
+        replica.set_behaviour(Behaviour::Events(100_000));
+        let attack = Attack::start(&processes, &description, |client| {
+            let framing = Framing::Length(BODY_MAX_BYTES);
+            let upload = upload(path, client, framing, BODY_MAX_BYTES);
+            Upload { is_read: false, ..upload }
+        });
+        let attack = attack.await;
+        replica.set_behaviour(Behaviour::Normal);
+        attack.check(CLIENTS).await;
+    }
+}
+
+/// A gateway is stopped and started again beside clients that use up its memory and don't
+/// leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarts_beside_crowd() {
+    let _alone = alone().await;
+    let mut processes = start(ProcessSettings::default()).await;
+    for _ in 0..2 {
+        let gateway = processes.clients[0];
+        let watch = MemoryWatch::start(processes.servers[LEDGERS].id(), gateway);
+        let uploads = (0..CLIENTS).map(|client| {
+            let framing = Framing::Length(BODY_MAX_BYTES);
+            (gateway, upload("/once", client, framing, BODY_MAX_BYTES - 1))
+        });
+        let crowd = Crowd::start(uploads.collect());
+        crowd.settled(&[gateway]).await;
+        processes.servers[LEDGERS].signal(libc::SIGTERM);
+        eventually("the gateway ends by itself", async || {
+            let status = processes.servers[LEDGERS].exit_status();
+            assert!(status.is_none_or(|status| status.success()), "{status:?}");
+            status.is_some()
+        })
+        .await;
+        let peak = watch.sampled_peak();
+        println!("restarts beside crowd: peak {} MB, {}", peak >> 20, crowd.summary().await);
+        assert!(peak < GATEWAY_MEMORY_BYTES, "the gateway used {peak} bytes");
+        processes.servers[LEDGERS].start();
+        eventually("a request is served after the restart", async || {
+            call(gateway, Bytes::from_static(b"question")).await == Some(StatusCode::OK)
+        })
+        .await;
+    }
+}
+
+/// Many turns of legal size at a few gateways, which ledger instances store.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn large_turns() {
-    const GATEWAYS: usize = 3;
+    large_turns_at(3).await;
+}
+
+/// Sends large turns to `gateways` gateways. A program whose turns were acknowledged goes
+/// on beside the crowd.
+async fn large_turns_at(gateways: usize) {
     let _alone = alone().await;
     let settings = ProcessSettings {
-        gateways: GATEWAYS,
+        gateways,
         ledger: format!("memory_mb = {LEDGER_MEMORY_MB}\n"),
         ..ProcessSettings::default()
     };
     let processes = start(settings).await;
+    let question = Bytes::from_static(b"question");
+    let first = served_turn(processes.clients[0], "/turn", None, question.clone()).await;
     let uploads = (0..CLIENTS).map(|client| {
         let framing = Framing::Length(BODY_MAX_BYTES);
-        let gateway = processes.clients[client % GATEWAYS];
+        let gateway = processes.clients[client % gateways];
         (gateway, upload("/turn", client, framing, BODY_MAX_BYTES))
     });
     let crowd = Crowd::start(uploads.collect());
@@ -225,11 +368,14 @@
         })
         .await;
     }
-    println!("large turns: {}", crowd.summary().await);
+    let last = processes.clients[gateways - 1];
+    let second = served_turn(last, "/turn", Some(&first), question.clone()).await;
+    println!("large turns at {gateways}: {}", crowd.summary().await);
     drop(crowd);
+    served_turn(processes.clients[0], "/turn", Some(&second), question).await;
     for (number, server) in processes.servers.iter().enumerate() {
         let peak = server.memory_peak();
-        println!("large turns: process {number}, peak {} MB", peak >> 20);
+        println!("large turns at {gateways}: process {number}, peak {} MB", peak >> 20);
         let bound = if number < LEDGERS { LEDGER_MEMORY_MB << 20 } else { GATEWAY_MEMORY_BYTES };
         assert!(peak < bound, "process {number} used {peak} bytes");
     }
--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -53,6 +53,8 @@
     Length(usize),
     /// In chunks of this size.
     Chunks(usize),
+    /// Not at all, as the head doesn't end.
+    OpenHead,
 }
 
 /// A request as its client sends it.
@@ -65,6 +67,8 @@
     pub body: Arc<[u8]>,
     /// Whether the last chunk follows the content of a chunked body.
     pub is_ended: bool,
+    /// Whether the client reads the response.
+    pub is_read: bool,
 }
 
 impl Upload {
@@ -73,6 +77,7 @@
         let framing = match self.framing {
             Framing::Length(length) => format!("content-length: {length}"),
             Framing::Chunks(_) => "transfer-encoding: chunked".to_owned(),
+            Framing::OpenHead => return write(socket, self.head.as_bytes()).await,
         };
         write(socket, format!("{}{framing}\r\n\r\n", self.head).as_bytes()).await?;
         match self.framing {
@@ -97,6 +102,7 @@
                 }
                 write(socket, &encoded).await?;
             }
+            Framing::OpenHead => {}
         }
         Ok(())
     }
@@ -139,6 +145,9 @@
                             continue;
                         }
                     };
+                    if !upload.is_read {
+                        return std::future::pending().await;
+                    }
                     let status = status(&mut socket).await;
                     statuses.lock().await.push(status);
                     // Reads until the server closes the connection.
@@ -229,7 +238,13 @@
     /// process has ended.
     pub fn peak(&self) -> u64 {
         let resident = memory(self.id, "VmHWM:").expect("the process lives");
-        resident.max(self.peak.load(Ordering::Relaxed))
+        resident.max(self.sampled_peak())
+    }
+
+    /// The most memory that the process was seen to use so far, in bytes, whether or not it
+    /// has ended.
+    pub fn sampled_peak(&self) -> u64 {
+        self.peak.load(Ordering::Relaxed)
     }
 
     /// Descriptors that the process has open.
--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -6,7 +6,7 @@
     fs::OpenOptions,
     net::SocketAddr,
     path::Path,
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
 };
 
 use gg_fakes::start_process;
@@ -60,6 +60,12 @@
         self.child.as_ref().expect("process is running").id()
     }
 
+    /// Exit status of the process, `None` while it runs.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        let child = self.child.as_mut().expect("process was started");
+        child.try_wait().expect("state of child process")
+    }
+
     /// Returns the peak resident memory of the process, in bytes.
     pub fn memory_peak(&self) -> u64 {
         let id = self.id();
