Gateway: a turn at the limits that continues long turns is served in calm

Callers whose turn of 4 MiB continued two others of that size got 503 for ever from a gateway of 88 MB, with nothing beside it; served it. Found by requests_at_limits, which fails on ("timed out waiting: a turn of 4194304 bytes is served on /turn") and passes on.

Cause: the prompt was reserved as a request of its own, with up to two thirds of the budget, on top of the body's reservation; together they exceeded the three quarters that large requests may use. And the copies of the turn's record were released when the stream began, though they are made at its end.

Change: prompt and record belong to the reservation of the request, which is bounded as a whole. The history is released once it was sent, unless the stream may be resumed; the record's copies with the request.

--- a/crates/gg-gateway/src/proxy.rs
+++ b/crates/gg-gateway/src/proxy.rs
@@ -38,8 +38,8 @@
 pub(crate) struct Job {
     pub(crate) head: Parts,
     pub(crate) body: Blocks,
-    /// Memory that the body takes.
-    pub(crate) _memory: Reservation,
+    /// Memory of the body and, for turns, of the prompt and of the record's copies.
+    pub(crate) memory: Reservation,
     /// Whether the client announced a body; it may turn out to be empty.
     pub(crate) has_body: bool,
     pub(crate) envelope: Envelope,
@@ -263,7 +263,7 @@
     Ok(Job {
         head,
         body,
-        _memory: memory,
+        memory,
         has_body,
         envelope,
         route,
--- a/crates/gg-gateway/src/resume.rs
+++ b/crates/gg-gateway/src/resume.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gg_http::{Blocks, Reservation};
+use gg_http::Blocks;
 use gg_ledger::OpenedTurn;
 use gg_route::{Deployment, UpstreamId};
 use http::StatusCode;
@@ -20,8 +20,6 @@
 #[derive(Debug)]
 pub(crate) struct Resume {
     pub(crate) prompt: Blocks,
-    /// Memory of the prompt.
-    pub(crate) _memory: Reservation,
     pub(crate) opened: OpenedTurn,
     pub(crate) attempts: Attempts,
     /// Replicas that received the turn.
--- a/crates/gg-gateway/src/stream.rs
+++ b/crates/gg-gateway/src/stream.rs
@@ -49,10 +49,10 @@
     if job.route.stores_turns && body.len() > TEXT_MAX_BYTES {
         return Err(Failure::unexecuted(Code::TooLarge, TOO_LONG));
     }
-    // The longest turns take more than one request may, so they take all of that.
-    let bytes = turn_memory(job, &opened).min(state.memory.request_bytes_max());
-    let memory = state.memory.reserve(bytes).await;
-    let memory = memory.map_err(|_| refusal("no memory is left for the prompt"))?;
+    let history_bytes = opened.history.len();
+    let needed = history_bytes + record_memory(job, &opened);
+    let reserved = job.memory.grow_within_max(needed).await;
+    let reserved = reserved.map_err(|_| refusal("no memory is left for the prompt"))?;
     let mut attempts = job.attempts();
     let mut tried = Vec::new();
     loop {
@@ -87,13 +87,11 @@
         let mut headers = sent.response.headers().clone();
         strip_hop_headers(&mut headers);
         let whole_history = opened.needs_history.then(|| opened.history.clone());
-        let resume = job.route.is_resumable.then(|| Resume {
-            prompt: body,
-            _memory: memory,
-            opened,
-            attempts,
-            tried,
-        });
+        let resume =
+            job.route.is_resumable.then(|| Resume { prompt: body, opened, attempts, tried });
+        if resume.is_none() && whole_history.is_none() {
+            job.memory.shrink(history_bytes.min(reserved));
+        }
         let stream = relay(Relay::new(settlement, sent, started_at, whole_history, resume));
         let mut response = Response::new(Either::Right(StreamBody::new(stream)));
         *response.headers_mut() = headers;
@@ -148,12 +146,13 @@
 /// instances that it is stored at first.
 const RECORD_COPIES: usize = 3;
 
-/// Memory of a turn in bytes, beside its body: its history and, if it is stored, the
-/// copies of its text.
-fn turn_memory(job: &Job, opened: &OpenedTurn) -> usize {
-    let history = opened.history.len();
-    let text = if opened.needs_history { history + job.body.len() } else { job.body.len() };
-    history + if job.route.stores_turns { RECORD_COPIES * text } else { 0 }
+/// Memory, in bytes, of the copies of a turn's text; 0 if it isn't stored.
+fn record_memory(job: &Job, opened: &OpenedTurn) -> usize {
+    if !job.route.stores_turns {
+        return 0;
+    }
+    let history = if opened.needs_history { opened.history.len() } else { 0 };
+    RECORD_COPIES * (history + job.body.len())
 }
 
 /// The history followed by the new input.
--- a/crates/gg-http/src/memory_budget.rs
+++ b/crates/gg-http/src/memory_budget.rs
@@ -348,6 +348,21 @@
         }
     }
 
+    /// Reserves `bytes` more, or as much as one request may hold. Returns the bytes that were
+    /// reserved.
+    pub async fn grow_within_max(&self, bytes: usize) -> Result<usize, MemoryError> {
+        let left = self.budget.request_bytes_max().saturating_sub(self.bytes());
+        let bytes = bytes.min(left);
+        self.grow(bytes).await?;
+        Ok(bytes)
+    }
+
+    /// Releases `bytes` of what is reserved.
+    pub fn shrink(&self, bytes: usize) {
+        self.budget.holders().remove(self.id, bytes);
+        self.budget.shared.freed.notify_waiters();
+    }
+
     /// Reserves `bytes` more, however long it takes until there is room.
     pub(crate) async fn grow_patiently(&self, bytes: usize) {
         loop {
@@ -414,6 +429,10 @@
         self.budget.holders().all.get(&self.id).map(|holder| holder.stage)
     }
 
+    fn bytes(&self) -> usize {
+        self.budget.holders().all.get(&self.id).map_or(0, |holder| holder.bytes)
+    }
+
     fn is_evicted(&self) -> bool {
         self.budget.holders().all.get(&self.id).is_some_and(|holder| holder.is_evicted)
     }
--- a/tests/abusive_clients.rs
+++ b/tests/abusive_clients.rs
@@ -337,6 +337,26 @@
     }
 }
 
+/// In calm, requests at the limits are served on each kind of route, also those that
+/// continue other turns at the limits.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_at_limits() {
+    let _alone = alone().await;
+    let processes = start(ProcessSettings::default()).await;
+    let gateway = processes.clients[0];
+    let body = Bytes::from(vec![b'x'; BODY_MAX_BYTES]);
+    eventually("a request at the limit is served", async || {
+        call(gateway, body.clone()).await == Some(StatusCode::OK)
+    })
+    .await;
+    for path in ["/whole", "/resume"] {
+        served_turn(gateway, path, None, body.clone()).await;
+    }
+    let first = served_turn(gateway, "/turn", None, body.clone()).await;
+    let second = served_turn(gateway, "/turn", Some(&first), body.clone()).await;
+    served_turn(gateway, "/turn", Some(&second), body).await;
+}
+
 /// Many turns of legal size at a few gateways, which ledger instances store.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn large_turns() {
