A head waits for memory before more of it is read

Heads were counted after they had been read, and the requests that were to give way for them weren't yet stalled.

Change: the socket reserves memory before a read for which the usual read buffer is too small, and waits while none is left; others that stalled give way.

Heads of up to 8 KiB are not affected.

--- a/crates/gg-http/src/client_socket.rs
+++ b/crates/gg-http/src/client_socket.rs
@@ -1,5 +1,5 @@
-//! Socket of a client: counts what is read ahead, and closes without losing the last
-//! response.
+//! Socket of a client: reserves memory for what is read ahead, and closes without losing
+//! the last response.
 
 use std::{
     io,
@@ -51,15 +51,26 @@
     }
 }
 
+/// Delay until memory for a larger read buffer is asked for again.
+const RESERVE_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Memory of a read buffer that grows, as a multiple of its content: its spare half, the
+/// buffer that it was copied from, and those that the allocator has not returned yet.
+const GROWING_FACTOR: usize = 4;
+
 /// Socket of a client.
 #[derive(Debug)]
 pub(crate) struct ClientSocket {
     socket: TcpStream,
     state: Arc<ConnectionState>,
-    /// Bytes of the read buffer that are counted, beyond its usual size.
-    counted: usize,
+    /// Bytes of the head that is being received.
+    head: usize,
+    /// Bytes of the read buffer that are reserved, beyond its usual size.
+    reserved: usize,
     /// Largest read buffer.
     buffer_max: usize,
+    /// Runs while no memory is left for a larger read buffer.
+    retry: Option<Pin<Box<Sleep>>>,
     linger: Option<Linger>,
 }
 
@@ -72,22 +83,56 @@
 
 impl ClientSocket {
     pub(crate) fn new(socket: TcpStream, state: Arc<ConnectionState>, buffer_max: usize) -> Self {
-        ClientSocket { socket, state, counted: 0, buffer_max, linger: None }
+        ClientSocket { socket, state, head: 0, reserved: 0, buffer_max, retry: None, linger: None }
+    }
+
+    /// Reserves memory for a read of up to `bytes` bytes before it is made, unless the usual
+    /// read buffer holds them as well. Heads wait for memory. Bodies are read in any case:
+    /// their buffers don't grow further, and the bodies themselves are refused.
+    fn poll_reserve(&mut self, cx: &mut Context<'_>, bytes: usize) -> Poll<()> {
+        let memory = &self.state.memory;
+        let is_body = memory.stage() == Some(Stage::Working);
+        let needed = self.buffer_memory(bytes, is_body);
+        while needed > self.reserved {
+            let more = needed - self.reserved;
+            if let Some(retry) = &mut self.retry {
+                ready!(retry.as_mut().poll(cx));
+            }
+            if is_body {
+                memory.grow_anyway(more);
+            } else if !memory.try_grow_head(more) {
+                self.retry = Some(Box::pin(time::sleep(RESERVE_RETRY_DELAY)));
+                continue;
+            }
+            self.reserved = needed;
+            self.retry = None;
+        }
+        Poll::Ready(())
+    }
+
+    /// Memory that the read buffer takes beyond its usual size if `bytes` more are read.
+    fn buffer_memory(&self, bytes: usize, is_body: bool) -> usize {
+        let held = (self.head + bytes).min(self.buffer_max);
+        match held > READ_BUFFER_BYTES {
+            true if !is_body && self.head > 0 => GROWING_FACTOR * held,
+            true => held,
+            false => 0,
+        }
     }
 
-    /// Counts what hyper holds of `bytes` that were read.
+    /// Records that `bytes` were read.
     fn record_read(&mut self, bytes: usize) {
         let memory = &self.state.memory;
         memory.enter_from(Stage::Idle, Stage::Receiving);
-        let is_head = memory.stage() == Some(Stage::Receiving);
-        let counted = match bytes >= READ_BUFFER_BYTES {
-            true => self.buffer_max,
-            false if is_head => (self.counted + bytes).min(self.buffer_max),
-            false => self.counted,
-        };
-        if counted > self.counted {
-            memory.grow_anyway(counted - self.counted);
-            self.counted = counted;
+        if memory.stage() == Some(Stage::Receiving) {
+            self.head += bytes;
+            return;
+        }
+        self.head = 0;
+        if self.reserved > self.buffer_max {
+            // The buffer keeps its size, but no longer grows.
+            memory.shrink(self.reserved - self.buffer_max);
+            self.reserved = self.buffer_max;
         }
     }
 }
@@ -99,6 +144,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
+        ready!(this.poll_reserve(cx, buffer.remaining()));
         let before = buffer.filled().len();
         ready!(Pin::new(&mut this.socket).poll_read(cx, buffer))?;
         let bytes = buffer.filled().len() - before;
--- a/crates/gg-http/src/memory_budget.rs
+++ b/crates/gg-http/src/memory_budget.rs
@@ -389,6 +389,12 @@
         }
     }
 
+    /// Reserves `bytes` more for a head, or makes others give way so that there may be room
+    /// later.
+    pub(crate) fn try_grow_head(&self, bytes: usize) -> bool {
+        self.try_grow(bytes) == Growth::Granted
+    }
+
     /// Enters a stage. A request that is complete is no longer given up.
     pub(crate) fn enter(&self, stage: Stage) {
         let mut holders = self.budget.holders();
--- a/tests/abusive_clients.rs
+++ b/tests/abusive_clients.rs
@@ -284,6 +284,21 @@
     .await;
 }
 
+/// Many heads without their end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_heads() {
+    const LARGE_HEAD_BYTES: usize = 2 << 20;
+    let _alone = alone().await;
+    let processes = start_with_heads(ProcessSettings::default(), LARGE_HEAD_BYTES).await;
+    attack(&processes, "large heads", CLIENTS, |client| {
+        let mut head = format!("{}x-filler: ", head("/once", client));
+        head.push_str(&"x".repeat(LARGE_HEAD_BYTES - head.len() - 1));
+        let body = Vec::new().into();
+        Upload { head, framing: Framing::OpenHead, body, is_ended: false, is_read: true }
+    })
+    .await;
+}
+
 /// Whole bodies of legal size, whose clients don't read the long responses.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn unread_responses() {
