Ledger: the buffer of a log entry has its size from the start

Cause: the encoded entry of a turn was as large as its text and doubled for the few bytes that follow it, so one more copy of twice the size existed for a moment.

--- a/crates/gg-ledger/src/encoding.rs
+++ b/crates/gg-ledger/src/encoding.rs
@@ -2,7 +2,7 @@
 //! postcard encoding, and the log time. Versions that know no log time ignore
 //! what follows the entry, so fields may be added at the end.
 
-use crate::{LogTime, PartitionEntry};
+use crate::{LogEntry, LogTime, PartitionEntry, protocol::FIELDS_BYTES};
 
 /// Size of the header before each entry: its length and checksum,
 /// little-endian.
@@ -57,6 +57,10 @@
 /// Appends an entry in its on-disk encoding to `buffer`. Returns its size.
 pub fn encode_entry(entry: &PartitionEntry, at: LogTime, buffer: &mut Vec<u8>) -> usize {
     let start = buffer.len();
+    if let (_, LogEntry::Turn(record)) = entry {
+        // Otherwise the buffer doubles behind the text.
+        buffer.reserve(HEADER_BYTES + record.text.len() + FIELDS_BYTES);
+    }
     buffer.extend_from_slice(&[0; HEADER_BYTES]);
     // Serialization into memory can't fail for log entries.
     let _ = postcard::to_io(entry, &mut *buffer);
--- a/crates/gg-ledger/src/protocol.rs
+++ b/crates/gg-ledger/src/protocol.rs
@@ -30,8 +30,8 @@
 /// Largest frame, in bytes. A chain of 280,000 tokens fits.
 pub(crate) const FRAME_MAX_BYTES: usize = 16 << 20;
 
-/// Usual size of the fields of a message without its text, in bytes.
-const FIELDS_BYTES: usize = 256;
+/// Usual size of the fields of a message or entry without its text, in bytes.
+pub(crate) const FIELDS_BYTES: usize = 256;
 
 /// Frames above this size count in the memory budget of an instance, and are written
 /// without being copied.
--- a/tests/abusive_clients.rs
+++ b/tests/abusive_clients.rs
@@ -378,6 +378,12 @@
     large_turns_at(3).await;
 }
 
+/// Many turns of legal size at as many gateways as a small deployment has.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn turns_of_eight_gateways() {
+    large_turns_at(8).await;
+}
+
 /// Sends large turns to `gateways` gateways. A program whose turns were acknowledged goes
 /// on beside the crowd.
 async fn large_turns_at(gateways: usize) {
