Memory budget: requests leave room in proportion to their size

Callers with turns of 100 KiB, ordinary ones with a long history, were refused with 503 while a few whole bodies of 4 MiB held three quarters of the budget: everything above 64 KiB shared that part. Cause: the only distinction was small or not. Change: beside a request twice its own size has to stay free, at most a quarter of the budget. held_bodies now also sends a body of 100 KiB beside two of 1 MiB; it got 503 before and 200 now.

--- a/crates/gg-http/src/memory_budget.rs
+++ b/crates/gg-http/src/memory_budget.rs
@@ -14,11 +14,14 @@
 
 use crate::HttpError;
 
-/// Requests of up to this size may use the whole budget.
+/// Size above which a request that gets on gives way to one that was read.
 const SMALL_BYTES: usize = 64 << 10;
 
-/// One in this many bytes of the budget is left to small requests.
-const SMALL_DIVISOR: usize = 4;
+/// A request leaves this many times its own size to smaller ones.
+const SPARE_FACTOR: usize = 2;
+
+/// No request has to leave more than one in this many bytes of the budget.
+const SPARE_DIVISOR: usize = 4;
 
 /// One in this many bytes of the budget is out of reach of any single request.
 const OTHERS_DIVISOR: usize = 3;
@@ -130,6 +133,12 @@
     max - max / OTHERS_DIVISOR
 }
 
+/// Bytes of a budget that have to stay free beside a request of `size` bytes, so that the
+/// larger ones are refused first.
+fn spare_bytes(size: usize, max: usize) -> usize {
+    size.saturating_mul(SPARE_FACTOR).min(max / SPARE_DIVISOR)
+}
+
 /// What came of an attempt to reserve memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Growth {
@@ -150,7 +159,7 @@
         if size > request_max(max) {
             return Growth::Refused(MemoryError::TooLarge);
         }
-        let limit = if size <= SMALL_BYTES { max } else { max - max / SMALL_DIVISOR };
+        let limit = max - spare_bytes(size, max);
         let total = self.bytes + bytes;
         if total <= limit {
             self.add(id, bytes);
--- a/crates/gg-http/tests/memory_budget.rs
+++ b/crates/gg-http/tests/memory_budget.rs
@@ -16,6 +16,9 @@
 /// Size of a large body: two fit into the part of the budget that large ones may use.
 const LARGE_BYTES: usize = 1 << 20;
 
+/// Size of a body that large ones have to leave room for.
+const SMALLER_BYTES: usize = 100 << 10;
+
 const BUDGET_BYTES: usize = 3 << 20;
 
 /// Starts a server whose requests take `hold` until they are answered.
@@ -101,8 +104,7 @@
     assert!(refused > 0, "no stalled body gave way");
 }
 
-/// Requests that were read don't give way to others, and large ones leave room for small
-/// ones.
+/// Requests that were read don't give way to others, and leave room for smaller ones.
 #[tokio::test]
 async fn held_bodies() {
     let hold = CancellationToken::new();
@@ -116,6 +118,8 @@
     }
     let refused = status(send(address, "/", LARGE_BYTES, LARGE_BYTES).await).await;
     assert_eq!(refused, "503");
+    let smaller = status(send(address, "/", SMALLER_BYTES, SMALLER_BYTES).await).await;
+    assert_eq!(smaller, "200");
     send_until_served(address, 1 << 10).await;
     hold.cancel();
     for socket in held {
