Tests: a daemon is stopped and started again beside callers that stay

60 callers with 8 MiB less a byte use up the budget; SIGTERM has to end the daemon with status 0, and a turn has to be answered after the next start.

--- a/tests/abusive_callers.rs
+++ b/tests/abusive_callers.rs
@@ -172,6 +172,30 @@
     }
 }
 
+/// A daemon is stopped and started again beside callers that use up its memory and don't
+/// leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart_beside_callers() {
+    let _alone = alone().await;
+    let settings = FleetSettings { daemons: 1, engines: 1, ..FleetSettings::default() };
+    let mut fleet = support::fleet(settings).await;
+    let address = fleet.daemons[0].callers.parse().expect("address");
+    let watch = MemoryWatch::start(fleet.daemons[0].id().expect("process"), address);
+    let uploads = (0..CALLERS).map(|_| {
+        let framing = Framing::Length(BODY_MAX_BYTES);
+        (address, upload(framing, vec![b' '; BODY_MAX_BYTES - 1], false))
+    });
+    let crowd = Crowd::start(uploads.collect());
+    crowd.settled(&[address]).await;
+    let terminated = fleet.daemons[0].terminate().await;
+    assert!(terminated, "the daemon ended with a failure");
+    let peak = watch.sampled_peak();
+    println!("restart beside callers: peak {} MB, {}", peak >> 20, crowd.summary().await);
+    assert!(peak < MEMORY_BYTES, "the daemon used {peak} bytes");
+    fleet.restart(0);
+    eventually("a turn is answered after the restart", async || is_served(&fleet).await).await;
+}
+
 /// In calm, a call at the limit is accepted: it is refused only for its program's token
 /// budget.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
