Daemon: the histories of ended programs are bounded

A caller with a key that sent one call of 950 kB after another, 8 at a time, took a daemon to 278 MB of its 256 with 200 of them, 385 MB with 400 (ended_programs, new): each call without a program is a program of its own, and its history was kept for as long as it can be read, 60 s, whatever all of them took.

Cause: nothing bounded the histories of ended programs, which nobody continues.

--- a/crates/gg-daemon/src/lib.rs
+++ b/crates/gg-daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod config;
 mod copies;
 mod crash;
+mod ended_histories;
 mod entry;
 mod forecast;
 mod home;
--- a/crates/gg-daemon/src/upkeep.rs
+++ b/crates/gg-daemon/src/upkeep.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::{
+    ended_histories,
     home::{Home, HostedProgram, idempotency_object},
     lock::lock,
     outage,
@@ -43,7 +44,9 @@
             outage::drop_copies(&home.shared, home.id(), settled).await;
             dropped = settled;
         }
-        for hosted in home.hosted_programs() {
+        let programs = home.hosted_programs();
+        ended_histories::drop_excess(&programs);
+        for hosted in programs {
             maintain(&home, &hosted).await;
         }
         trim_journal(&home, &mut trimmed).await;
--- a/crates/gg-program/src/program.rs
+++ b/crates/gg-program/src/program.rs
@@ -4,7 +4,7 @@
     Answer, ChatCall, Failure, Message, Name, ProgramId, chat::token_bound, failure::Code,
 };
 use serde::{Deserialize, Serialize};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::{
     Budget, EndReason, Intent, RecordError, Start, TurnRecord,
@@ -174,6 +174,11 @@
         Prompt { messages: call.messages.clone(), prefix_len, bound }
     }
 
+    /// About the memory of the recorded history, in bytes.
+    pub fn history_bytes(&self) -> usize {
+        self.history.iter().map(value_bytes).sum()
+    }
+
     /// Chain digest of the program once `turn` is applied.
     pub fn next_chain(&self, turn: &TurnRecord) -> String {
         next_digest(&self.chain, turn)
@@ -273,3 +278,16 @@
         Some(record)
     }
 }
+
+/// About the memory of a JSON value, in bytes.
+fn value_bytes(value: &Value) -> usize {
+    let content = match value {
+        Value::String(text) => text.capacity(),
+        Value::Array(values) => values.iter().map(value_bytes).sum(),
+        Value::Object(members) => {
+            members.iter().map(|(name, value)| name.capacity() + value_bytes(value)).sum()
+        }
+        Value::Null | Value::Bool(_) | Value::Number(_) => 0,
+    };
+    size_of::<Value>() + content
+}
--- a/tests/abusive_callers.rs
+++ b/tests/abusive_callers.rs
@@ -4,7 +4,10 @@
 mod crowd;
 mod support;
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use crowd::{Crowd, Framing, MemoryWatch, Upload, alone};
+use futures::future::join_all;
 use gg_fakes::{CallResult, EngineCosts, Fleet, FleetSettings};
 
 /// Memory available to a daemon, in bytes.
@@ -19,6 +22,12 @@
 /// Largest body that the daemon's default settings allow, in bytes.
 const BODY_MAX_BYTES: usize = 8 << 20;
 
+/// Programs whose histories take more than a daemon's memory.
+const PROGRAMS: usize = 200;
+
+/// Programs that are started and not ended.
+const RUNNING_PROGRAMS: usize = 360;
+
 /// Size of a message that the token budget of a program allows, in bytes.
 const STORED_BYTES: usize = 950_000;
 
@@ -172,6 +181,57 @@
     }
 }
 
+/// Callers that send one call of legal size after another, which the daemon keeps as the
+/// histories of programs that have ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ended_programs() {
+    let _alone = alone().await;
+    let costs = EngineCosts { prefill_per_ms: 1e6, ..EngineCosts::default() };
+    let settings = FleetSettings { daemons: 1, engines: 1, costs, ..FleetSettings::default() };
+    let fleet = support::fleet(settings).await;
+    let address = fleet.daemons[0].callers.parse().expect("address");
+    let watch = MemoryWatch::start(fleet.daemons[0].id().expect("process"), address);
+    let served = AtomicUsize::new(0);
+    let callers = (0..JSON_CALLERS).map(|_| async {
+        while served.load(Ordering::Relaxed) < PROGRAMS {
+            if text_call(STORED_BYTES).status(address).await == "200" {
+                served.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    });
+    join_all(callers).await;
+    eventually("a turn is answered afterwards", async || is_served(&fleet).await).await;
+    let peak = watch.peak();
+    println!("ended programs: peak {} MB", peak >> 20);
+    assert!(peak < MEMORY_BYTES, "the daemon used {peak} bytes");
+}
+
+/// Callers that start one program after another, with a long call in each, and end none.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn running_programs() {
+    let _alone = alone().await;
+    let costs = EngineCosts { prefill_per_ms: 1e6, ..EngineCosts::default() };
+    let settings = FleetSettings { daemons: 1, engines: 1, costs, ..FleetSettings::default() };
+    let fleet = support::fleet(settings).await;
+    let address = fleet.daemons[0].callers.parse().expect("address");
+    let watch = MemoryWatch::start(fleet.daemons[0].id().expect("process"), address);
+    let text = "x".repeat(STORED_BYTES);
+    let callers = (0..JSON_CALLERS).map(|_| async {
+        let caller = fleet.caller("ukhozi");
+        for _ in 0..RUNNING_PROGRAMS / JSON_CALLERS {
+            if let Ok(program) = caller.start("urgent", None).await {
+                // Refusals are fine.
+                let _ = caller.turn(&program, 0, &text, 8).await;
+            }
+        }
+    });
+    join_all(callers).await;
+    eventually("a turn is answered afterwards", async || is_served(&fleet).await).await;
+    let peak = watch.peak();
+    println!("running programs: peak {} MB", peak >> 20);
+    assert!(peak < MEMORY_BYTES, "the daemon used {peak} bytes");
+}
+
 /// A daemon is stopped and started again beside callers that use up its memory and don't
 /// leave.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -108,6 +108,16 @@
     }
 }
 
+impl Upload {
+    /// Sends the request on a connection of its own. Returns the status of the response.
+    pub async fn status(&self, address: SocketAddr) -> String {
+        match send(address, self).await {
+            Ok(mut socket) => status(&mut socket).await,
+            Err(err) => err.kind().to_string(),
+        }
+    }
+}
+
 async fn write(socket: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
     let written = time::timeout(BLOCKED_TIMEOUT, socket.write_all(bytes)).await;
     written.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
