Objects above 1 MiB are returned to the kernel as soon as they are freed

Cause, traced by logging each frame with the anonymous memory: frames were counted and handled one at a time, 11 of 16 MB, but each next one took fresh memory while that of the ones before waited for its return (21 to 52 MB within a second, then 30 at once). Ruled out: read buffers (8 KiB at each announced frame), copies of partitions (no change of the layout). A shorter delay, 10 ms, changes little (43 to 69 MB); 0 ms 43 to 58.

Change: the allocator gives objects above 1 MiB memory of their own (arena_max_object_size).

--- a/src/bin/greengageforkd.rs
+++ b/src/bin/greengageforkd.rs
@@ -28,6 +28,14 @@
 /// second, in which clients can make the process hold their part of the memory twice.
 const RETURN_DELAY_MS: c_long = 100;
 
+/// Number of the allocator's option for the largest object that shares its memory with others
+/// (`mi_option_arena_max_object_size`).
+const SHARED_OBJECT_OPTION: mi_option_t = 45;
+
+/// Size, in KiB, above which an object has memory of its own, which is returned at once when
+/// it is freed.
+const SHARED_OBJECT_KB: c_long = 1024;
+
 /// Exit status if the settings have faults.
 const EXIT_FAULTS: u8 = 2;
 
@@ -69,7 +77,10 @@
 
 fn main() -> ExitCode {
     // SAFETY: only this thread runs, and the function takes only integers.
-    unsafe { mi_option_set(RETURN_DELAY_OPTION, RETURN_DELAY_MS) };
+    unsafe {
+        mi_option_set(RETURN_DELAY_OPTION, RETURN_DELAY_MS);
+        mi_option_set(SHARED_OBJECT_OPTION, SHARED_OBJECT_KB);
+    }
     let arguments: Arguments = argh::from_env();
     if arguments.sample {
         print!("{SAMPLE}");
