Daemon: the histories of programs count in the budget for what callers make it hold

Cause: each history was bounded by its program's token budget, their sum by nothing, and none was counted.

Change: a turn reserves what it adds to the history before the call is sent, in the callers' budget, of which histories may take three quarters; afterwards the history is counted as it is. Without room the turn gets 429 with Retry-After, has not run, and its program stays. As elsewhere large turns are refused first. Adopted programs are counted in any case. Ended ones release what they drop.

--- a/crates/gg-daemon/src/ended_histories.rs
+++ b/crates/gg-daemon/src/ended_histories.rs
@@ -29,6 +29,7 @@
         let bytes = program.history_bytes();
         if bytes > 0 && kept + bytes > ENDED_HISTORIES_BYTES {
             program.history = Vec::new();
+            hosted.memory.settle(0);
             log::info!("event=history_dropped program={} bytes={bytes}", program.id());
         } else {
             kept += bytes;
--- a/crates/gg-daemon/src/home/registry.rs
+++ b/crates/gg-daemon/src/home/registry.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{lock::lock, running::RunningStep, shared::Shared};
+use crate::{history_memory::HistoryMemory, lock::lock, running::RunningStep, shared::Shared};
 
 /// A journal and the programs recorded in it.
 pub(crate) struct Home {
@@ -38,6 +38,8 @@
 /// A program at its home.
 pub(crate) struct HostedProgram {
     pub(crate) program: Mutex<Program>,
+    /// Memory of the program's history.
+    pub(crate) memory: HistoryMemory,
     pub(crate) running: Mutex<Option<Arc<RunningStep>>>,
     /// Held while tokens are being reserved.
     pub(crate) reserve: tokio::sync::Mutex<()>,
@@ -47,8 +49,9 @@
 }
 
 impl HostedProgram {
-    pub(crate) fn new(program: Program, oldest_object: u64) -> Self {
+    pub(crate) fn new(shared: &Shared, program: Program, oldest_object: u64) -> Self {
         HostedProgram {
+            memory: shared.histories.count(program.history_bytes()),
             program: Mutex::new(program),
             running: Mutex::default(),
             reserve: tokio::sync::Mutex::default(),
@@ -57,6 +60,12 @@
         }
     }
 
+    /// Counts the history as it is.
+    pub(crate) fn settle_memory(&self) {
+        let bytes = lock(&self.program).history_bytes();
+        self.memory.settle(bytes);
+    }
+
     /// Clears the running step so that the next one may start.
     pub(crate) fn clear_running(&self) {
         lock(&self.running).take();
@@ -171,7 +180,7 @@
             if program.state == State::Running {
                 self.shared.forecast.record_start(&program.start.profile);
             }
-            programs.insert(id, Arc::new(HostedProgram::new(program, oldest_object)));
+            programs.insert(id, Arc::new(HostedProgram::new(&self.shared, program, oldest_object)));
         }
         drop(programs);
         self.write_owned().extend(journals.iter().cloned());
--- a/crates/gg-daemon/src/home/start.rs
+++ b/crates/gg-daemon/src/home/start.rs
@@ -23,7 +23,8 @@
         };
         let id = start.program.clone();
         let program = Program::new(start.clone());
-        let hosted = Arc::new(HostedProgram::new(program, self.journal.next_sequence()));
+        let hosted =
+            Arc::new(HostedProgram::new(&self.shared, program, self.journal.next_sequence()));
         let records = [Record::Started(start.clone())];
         let submitted = {
             let mut programs = self.write_programs();
--- a/crates/gg-daemon/src/lib.rs
+++ b/crates/gg-daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod ended_histories;
 mod entry;
 mod forecast;
+mod history_memory;
 mod home;
 mod home_request;
 mod lock;
--- a/crates/gg-daemon/src/shared.rs
+++ b/crates/gg-daemon/src/shared.rs
@@ -19,7 +19,10 @@
 use gg_settings::DaemonSettings;
 use tokio_util::sync::CancellationToken;
 
-use crate::{config::ConfigCell, copies::Copies, forecast::Forecast, lock::lock, metrics::Metrics};
+use crate::{
+    config::ConfigCell, copies::Copies, forecast::Forecast, history_memory::HistoryBudget,
+    lock::lock, metrics::Metrics,
+};
 
 /// State shared by the roles of one daemon.
 pub(crate) struct Shared {
@@ -34,6 +37,8 @@
     pub(crate) copies: Copies,
     /// Budget for the memory that callers make the daemon hold.
     pub(crate) memory: MemoryBudget,
+    /// Part of that budget for the histories of programs.
+    pub(crate) histories: HistoryBudget,
     pub(crate) forecast: Forecast,
     pub(crate) metrics: Metrics,
     pub(crate) quarantine: Mutex<Quarantine>,
@@ -64,6 +69,7 @@
                 ..Default::default()
             },
         );
+        let memory = MemoryBudget::new(settings.caller_memory());
         Shared {
             platform,
             config: ConfigCell::default(),
@@ -73,7 +79,8 @@
             engine: Engine::default(),
             service: Service::default(),
             copies: Copies::default(),
-            memory: MemoryBudget::new(settings.caller_memory()),
+            histories: HistoryBudget::new(&memory),
+            memory,
             forecast: Forecast::default(),
             metrics: Metrics::new(&settings.log, &settings.instance),
             quarantine: Mutex::default(),
--- a/crates/gg-daemon/src/step/model.rs
+++ b/crates/gg-daemon/src/step/model.rs
@@ -4,16 +4,16 @@
 
 use gg_dispatch::Verdict;
 use gg_engine::{EngineError, EngineEvent};
-use gg_program::Prompt;
+use gg_program::{Prompt, value_bytes};
 use gg_protocol::{
-    Answer, ChatCall, Code, Failure, Name, Profile, Usage, chat::token_estimate, clock::until_ms,
-    peer::SlotOutcome,
+    Answer, ChatCall, Code, Failure, Message, Name, Profile, Usage, chat::token_estimate,
+    clock::until_ms, peer::SlotOutcome,
 };
 use tokio::time::Instant;
 
 use super::{
     Step,
-    failures::{RETRY_AFTER_MS, cancelled, quarantined, upstream_failed},
+    failures::{RETRY_AFTER_MS, cancelled, history_refused, quarantined, upstream_failed},
     run::{ATTEMPTS_MAX, Outcome, clone_upstreams},
 };
 use crate::{
@@ -31,6 +31,8 @@
         let profile = self.profile().await?;
         let prompt = lock(&self.hosted.program).prompt(call);
         let bound = prompt.bound + call.max_tokens;
+        let added = added_messages(call, &prompt).iter().map(value_bytes).sum();
+        self.hosted.memory.reserve(added).await.map_err(history_refused)?;
         let mut failed = Vec::new();
         let mut waited_ms = 0;
         for _ in 0..ATTEMPTS_MAX {
@@ -52,7 +54,7 @@
                     return Ok(Outcome {
                         answer,
                         kept: prompt.prefix_len,
-                        added: added_messages(call, &prompt),
+                        added: added_messages(call, &prompt).to_vec(),
                         upstream: Some(upstream),
                         spent: usage.total(),
                         waited_ms,
@@ -291,10 +293,10 @@
     }
 }
 
-fn added_messages(call: &ChatCall, prompt: &Prompt) -> Vec<gg_protocol::Message> {
+fn added_messages<'a>(call: &'a ChatCall, prompt: &Prompt) -> &'a [Message] {
     match call.append {
-        true => call.messages.clone(),
-        false => call.messages[prompt.prefix_len..].to_vec(),
+        true => &call.messages,
+        false => &call.messages[prompt.prefix_len..],
     }
 }
 
--- a/crates/gg-daemon/src/step/run.rs
+++ b/crates/gg-daemon/src/step/run.rs
@@ -67,6 +67,7 @@
             Err(failure) => self.home.confirm_failure(failure).await,
         };
         self.log_end(&last);
+        self.hosted.settle_memory();
         self.hosted.clear_running();
         self.running.finish(last);
     }
--- a/crates/gg-http/src/memory_budget.rs
+++ b/crates/gg-http/src/memory_budget.rs
@@ -304,6 +304,11 @@
         reservation
     }
 
+    /// Creates an empty reservation for work that is not given up.
+    pub fn empty_reservation(&self) -> Reservation {
+        self.reservation(Stage::Working)
+    }
+
     /// Creates an empty reservation.
     pub(crate) fn reservation(&self, stage: Stage) -> Reservation {
         let mut holders = self.holders();
@@ -366,6 +371,15 @@
         Ok(bytes)
     }
 
+    /// Counts `bytes` in all that are held in any case.
+    pub fn resize(&self, bytes: usize) {
+        let held = self.bytes();
+        match bytes > held {
+            true => self.grow_anyway(bytes - held),
+            false => self.shrink(held - bytes),
+        }
+    }
+
     /// Releases `bytes` of what is reserved.
     pub fn shrink(&self, bytes: usize) {
         self.budget.holders().remove(self.id, bytes);
@@ -444,7 +458,8 @@
         self.budget.holders().all.get(&self.id).map(|holder| holder.stage)
     }
 
-    fn bytes(&self) -> usize {
+    /// Bytes that are reserved.
+    pub fn bytes(&self) -> usize {
         self.budget.holders().all.get(&self.id).map_or(0, |holder| holder.bytes)
     }
 
--- a/crates/gg-program/src/lib.rs
+++ b/crates/gg-program/src/lib.rs
@@ -25,6 +25,6 @@
 pub use budget::{Budget, Coverage};
 pub use digest::call_digest;
 pub use error::RecordError;
-pub use program::{Program, Prompt, State, Turn, TurnStatus};
+pub use program::{Program, Prompt, State, Turn, TurnStatus, value_bytes};
 pub use program_table::ProgramTable;
 pub use record::{EndReason, Intent, Record, Start, TurnRecord};
--- a/crates/gg-program/src/program.rs
+++ b/crates/gg-program/src/program.rs
@@ -280,7 +280,7 @@
 }
 
 /// About the memory of a JSON value, in bytes.
-fn value_bytes(value: &Value) -> usize {
+pub fn value_bytes(value: &Value) -> usize {
     let content = match value {
         Value::String(text) => text.capacity(),
         Value::Array(values) => values.iter().map(value_bytes).sum(),
