Review case 8: copies of a partition take more memory than a machine has

In a set that shrinks the remaining members copy from the same members at the same time, and for each copy the source queues up to 16 replies of at least one turn each, which count in no budget. Processes end for memory over the limit, start again and are asked again.

--- a/review/harness-2/tests/src/main.rs
+++ b/review/harness-2/tests/src/main.rs
@@ -12,6 +12,8 @@
 
 #[path = "../../../7/tests/case.rs"]
 mod case_7;
+#[path = "../../../8/tests/case.rs"]
+mod case_8;
 #[path = "../../../9/tests/case.rs"]
 mod case_9;
 
@@ -45,6 +47,7 @@
         let case = async {
             match number.as_str() {
                 "7" => case_7::run(&record, is_disrupted).await,
+                "8" => case_8::run(&record, is_disrupted).await,
                 "9" => case_9::run(&record, is_disrupted).await,
                 _ => Err("no such case".into()),
             }
