Review case 10: a raised limit for heads doesn't reach open channels

The limit for request heads is read when a connection is accepted and not again, so requests within the limit in force are answered 431 on channels that were open before a version raised it.

--- a/review/harness-2/tests/src/main.rs
+++ b/review/harness-2/tests/src/main.rs
@@ -10,6 +10,8 @@
 #[path = "../../../../platform/tests/support/store.rs"]
 mod store;
 
+#[path = "../../../10/tests/case.rs"]
+mod case_10;
 #[path = "../../../7/tests/case.rs"]
 mod case_7;
 #[path = "../../../8/tests/case.rs"]
@@ -46,6 +48,7 @@
     let verdict = runtime.block_on(async {
         let case = async {
             match number.as_str() {
+                "10" => case_10::run(&record, is_disrupted).await,
                 "7" => case_7::run(&record, is_disrupted).await,
                 "8" => case_8::run(&record, is_disrupted).await,
                 "9" => case_9::run(&record, is_disrupted).await,
