--- a/review/harness-2/tests/src/deployment.rs
+++ b/review/harness-2/tests/src/deployment.rs
@@ -44,6 +44,9 @@
 /// Seconds for which turns are retained.
 pub const RETENTION_S: u64 = 60;
 
+/// Time from SIGTERM to SIGKILL, `grace-s`.
+const GRACE: Duration = Duration::from_secs(8);
+
 /// Time for all processes to become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -115,6 +118,20 @@
         }
     }
 
+    /// Sends SIGTERM and waits for the end, at most for `grace-s`.
+    pub async fn stop(&mut self) {
+        let Some(id) = self.id() else { return };
+        // SAFETY: the process is a child that was not reaped, so the id is its own.
+        unsafe { libc::kill(id as libc::pid_t, libc::SIGTERM) };
+        let limit = Instant::now() + GRACE;
+        while let Some(child) = &mut self.child {
+            if Instant::now() > limit || child.try_wait().is_ok_and(|status| status.is_some()) {
+                return self.kill();
+            }
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Resident memory in bytes, without that of the program's file; `None` if the process
     /// doesn't run.
     pub fn memory(&self) -> Option<u64> {
@@ -220,6 +237,15 @@
         })
     }
 
+    /// Adds a ledger instance with an empty disk at a new address.
+    pub fn add_ledger(&mut self) -> Result<usize, Failure> {
+        let mut ledger = self.process("ledger", self.ledgers.len(), LEDGER_MEMORY_MB)?;
+        ledger.disk = Some(TempDir::new()?);
+        ledger.start(false)?;
+        self.ledgers.push(ledger);
+        Ok(self.ledgers.len() - 1)
+    }
+
     /// Waits until all gateways say that they are ready.
     pub async fn until_ready(&self) -> Result<(), Failure> {
         let limit = Instant::now() + START_TIMEOUT;
--- a/review/harness-2/tests/src/main.rs
+++ b/review/harness-2/tests/src/main.rs
@@ -12,6 +12,8 @@
 
 #[path = "../../../10/tests/case.rs"]
 mod case_10;
+#[path = "../../../6/tests/case.rs"]
+mod case_6;
 #[path = "../../../7/tests/case.rs"]
 mod case_7;
 #[path = "../../../8/tests/case.rs"]
@@ -49,6 +51,7 @@
         let case = async {
             match number.as_str() {
                 "10" => case_10::run(&record, is_disrupted).await,
+                "6" => case_6::run(&record, is_disrupted).await,
                 "7" => case_7::run(&record, is_disrupted).await,
                 "8" => case_8::run(&record, is_disrupted).await,
                 "9" => case_9::run(&record, is_disrupted).await,
